--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+SOURCES := src testing bench spec tools
+
+.PHONY: demo test lint format model bench slopes scale schema fuzz
+
+$(STAMP): requirements-dev.txt requirements.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
+		-r requirements-dev.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
+		--no-deps --no-build-isolation -e .
+	touch $@
+
+demo: $(STAMP)
+	$(BIN)/python -m _jasminewind.demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+lint: $(STAMP)
+	$(BIN)/black --quiet --check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/black --quiet $(SOURCES)
+
+model: $(STAMP)
+	$(BIN)/python -m spec
+
+fuzz: $(STAMP)
+	$(BIN)/python -m pytest testing --fuzz-examples=2000 -k fuzz
+
+bench: $(STAMP)
+	$(BIN)/python -m bench.run
+
+slopes: $(STAMP)
+	$(BIN)/python -m bench.slopes
+
+scale: $(STAMP)
+	$(BIN)/python -m bench.scale
+
+schema: $(STAMP)
+	$(BIN)/python -m tools.schema
--- /dev/null
+++ b/src/_jasminewind/__init__.py
@@ -0,0 +1,1 @@
+"""Private implementation of jasminewind; import :mod:`jasminewind`."""
--- /dev/null
+++ b/src/_jasminewind/api/__init__.py
@@ -0,0 +1,1 @@
+"""Connect services for callers and operators."""
--- /dev/null
+++ b/src/_jasminewind/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line tool."""
--- /dev/null
+++ b/src/_jasminewind/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic without input, output, clock or randomness."""
--- /dev/null
+++ b/src/_jasminewind/errors.py
@@ -0,0 +1,92 @@
+"""Outcome of failed work, and the error type of each layer."""
+
+import dataclasses
+import enum
+
+
+class Outcome(enum.StrEnum):
+    """What is known about work that did not complete."""
+
+    NOT_RUN = "NOT_RUN"
+    MAY_HAVE_RUN = "MAY_HAVE_RUN"
+    FAILED_WHILE_RUNNING = "FAILED_WHILE_RUNNING"
+
+
+class Code(enum.StrEnum):
+    """Error codes of the Connect protocol that this system uses."""
+
+    CANCELED = "canceled"
+    INVALID_ARGUMENT = "invalid_argument"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    NOT_FOUND = "not_found"
+    ALREADY_EXISTS = "already_exists"
+    RESOURCE_EXHAUSTED = "resource_exhausted"
+    FAILED_PRECONDITION = "failed_precondition"
+    ABORTED = "aborted"
+    UNAVAILABLE = "unavailable"
+    INTERNAL = "internal"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class IdError:
+    """An id that is not a UUIDv7 of this system."""
+
+    text: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class WorkError:
+    """Why a submission did not complete, as the caller sees it."""
+
+    code: Code
+    outcome: Outcome
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class WireError:
+    """A frame or a link that cannot be used."""
+
+    reason: str
+
+
+class TableFailure(enum.StrEnum):
+    """Ways in which a call to the platform's table can fail."""
+
+    CONFLICT = "CONFLICT"
+    NOT_SENT = "NOT_SENT"
+    UNKNOWN = "UNKNOWN"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TableError:
+    """A failed table call.
+
+    ``CONFLICT`` and ``NOT_SENT`` prove that nothing was written;
+    ``UNKNOWN`` means that the write may have taken effect.
+    """
+
+    failure: TableFailure
+    reason: str
+
+
+class EndpointFailure(enum.StrEnum):
+    """Ways in which a call to a worker or a minion can fail."""
+
+    REFUSED = "REFUSED"
+    STALE_GENERATION = "STALE_GENERATION"
+    UNKNOWN = "UNKNOWN"
+    FAILED = "FAILED"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EndpointError:
+    """A failed call to a worker or a minion.
+
+    ``REFUSED`` and ``STALE_GENERATION`` prove that the task did not start;
+    ``UNKNOWN`` means that it may have started.
+    """
+
+    failure: EndpointFailure
+    reason: str
--- /dev/null
+++ b/src/_jasminewind/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between the processes of the system."""
--- /dev/null
+++ b/src/_jasminewind/messages/links.py
@@ -0,0 +1,38 @@
+"""Messages that open and probe a link."""
+
+import dataclasses
+
+from _jasminewind import members
+
+PROTOCOL_VERSION = 1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Hello:
+    """First message on a link, in both directions."""
+
+    protocol_version: int
+    sender: members.NodeId
+    address: members.Address
+    role: members.Role
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HelloRefused:
+    """Last message before the receiver of a ``Hello`` closes the link."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ping:
+    """Application-level probe of a link."""
+
+    nonce: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Pong:
+    """Answer to the ``Ping`` with the same nonce."""
+
+    nonce: int
--- /dev/null
+++ b/src/_jasminewind/messages/tasks.py
@@ -0,0 +1,137 @@
+"""Messages between a coordinator and a keeper."""
+
+import dataclasses
+import enum
+
+from _jasminewind import errors
+from _jasminewind import members
+from _jasminewind.messages import work
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class TaskKey:
+    """One attempt at one task of a submission.
+
+    ``attempt`` is above 0 only for repeatable tasks and for tasks whose
+    earlier attempt is proved not to have started.
+    """
+
+    work_id: str
+    index: int
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TaskStart:
+    """One task to start. ``budget_s`` is the time left for it."""
+
+    key: TaskKey
+    team: str
+    task: work.Task
+    budget_s: float
+    is_long: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StartTasks:
+    """A coordinator asks a keeper to start tasks. It is sent once."""
+
+    keeper: members.NodeId
+    starts: tuple[TaskStart, ...]
+    config_version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TaskRefusal:
+    """A start that the keeper refused: it was not run and never will be."""
+
+    key: TaskKey
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TasksRefused:
+    """Starts that a keeper refused, with its load."""
+
+    refusals: tuple[TaskRefusal, ...]
+    load: members.Load
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TaskResult:
+    """End of one started task. ``error`` is ``None`` on success."""
+
+    key: TaskKey
+    run_s: float
+    payload: str = ""
+    error: errors.WorkError | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TaskResults:
+    """Ends of tasks; the keeper repeats it until it is acknowledged."""
+
+    keeper: members.NodeId
+    results: tuple[TaskResult, ...]
+    load: members.Load
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ResultsAck:
+    """The coordinator has stored these results."""
+
+    keys: tuple[TaskKey, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StopTasks:
+    """The coordinator no longer needs these tasks."""
+
+    keys: tuple[TaskKey, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class QueryTasks:
+    """Ask a keeper what became of starts whose answer was lost."""
+
+    keeper: members.NodeId
+    keys: tuple[TaskKey, ...]
+
+
+class TaskStanding(enum.StrEnum):
+    """What a keeper knows of a task.
+
+    ``NEVER_SEEN`` is a promise: the keeper has recorded a tombstone and
+    refuses the start if it arrives later.
+    """
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    DONE = "done"
+    NEVER_SEEN = "never_seen"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TaskStatus:
+    """What a keeper knows of one task; ``result`` is set when done."""
+
+    key: TaskKey
+    standing: TaskStanding
+    result: TaskResult | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TaskStatuses:
+    """Answer to ``QueryTasks``."""
+
+    keeper: members.NodeId
+    statuses: tuple[TaskStatus, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LoadReport:
+    """A keeper's load, when it changed without any other message."""
+
+    keeper: members.NodeId
+    load: members.Load
--- /dev/null
+++ b/src/_jasminewind/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Twisted tasks that own sockets and drive the decisions."""
--- /dev/null
+++ b/src/_jasminewind/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's table service and workers."""
--- /dev/null
+++ b/src/_jasminewind/platform/client.py
@@ -0,0 +1,69 @@
+"""What the system needs of the platform, as narrow abstract clients."""
+
+import abc
+import collections.abc
+
+import result
+from twisted.internet import defer
+
+from _jasminewind import errors
+from _jasminewind.decisions import core
+from _jasminewind.messages import tasks
+
+
+class Table(abc.ABC):
+    """The platform's transactional table."""
+
+    @abc.abstractmethod
+    def read(
+        self, keys: tuple[str, ...], prefix: str
+    ) -> defer.Deferred[
+        result.Result[tuple[core.TableRow, ...], errors.TableError]
+    ]:
+        """Return the named rows and all whose key has ``prefix``.
+
+        A row that does not exist is returned with version 0. An empty
+        ``prefix`` selects nothing.
+        """
+
+    @abc.abstractmethod
+    def write(
+        self, key: str, expected_version: int, value: str | None
+    ) -> defer.Deferred[result.Result[int, errors.TableError]]:
+        """Compare-and-set one row; return its new version."""
+
+
+EndCallback = collections.abc.Callable[[core.TaskEnd], None]
+UsageCallback = collections.abc.Callable[[tuple[core.Usage, ...]], None]
+
+
+class EndpointClient(abc.ABC):
+    """The endpoint beside an agent: a minion or a worker."""
+
+    @abc.abstractmethod
+    def attach(
+        self, on_end: EndCallback, on_usage: UsageCallback
+    ) -> defer.Deferred[
+        result.Result[tuple[tasks.TaskKey, ...], errors.EndpointError]
+    ]:
+        """Become the only holder and return the tasks that already run.
+
+        A worker refuses starts of earlier holders from then on. A minion
+        returns no tasks.
+        """
+
+    @abc.abstractmethod
+    def start(self, start: tasks.TaskStart) -> None:
+        """Start a task once; ``on_end`` is called when it ends.
+
+        A lost answer is settled by reading the leases of the endpoint,
+        never by sending the start again.
+        """
+
+    @abc.abstractmethod
+    def order(self, key: tasks.TaskKey, order: core.EndpointOrder) -> None:
+        """Stop, throttle or checkpoint a running task."""
+
+    @abc.abstractmethod
+    def detach(self) -> None:
+        """Release the endpoint and stop all calls to it."""
--- /dev/null
+++ b/src/_jasminewind/resources.py
@@ -0,0 +1,62 @@
+"""The resource vector that tasks demand and endpoints offer."""
+
+import dataclasses
+
+FIELDS = ("slots", "cores", "memory_mb", "accelerators")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Resources:
+    """Amounts of each resource.
+
+    ``slots`` belong to minions. ``cores`` (of a processor), ``memory_mb``
+    (MiB) and ``accelerators`` belong to workers.
+    """
+
+    slots: float = 0.0
+    cores: float = 0.0
+    memory_mb: float = 0.0
+    accelerators: float = 0.0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        return Resources(
+            slots=self.slots + other.slots,
+            cores=self.cores + other.cores,
+            memory_mb=self.memory_mb + other.memory_mb,
+            accelerators=self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        return self + other.scaled(-1.0)
+
+    def scaled(self, factor: float) -> "Resources":
+        """Return every amount multiplied by ``factor``."""
+        return Resources(
+            slots=self.slots * factor,
+            cores=self.cores * factor,
+            memory_mb=self.memory_mb * factor,
+            accelerators=self.accelerators * factor,
+        )
+
+    def fits(self, available: "Resources") -> bool:
+        """Tell whether ``available`` covers every amount."""
+        return (
+            self.slots <= available.slots
+            and self.cores <= available.cores
+            and self.memory_mb <= available.memory_mb
+            and self.accelerators <= available.accelerators
+        )
+
+    def share_of(self, total: "Resources") -> float:
+        """Return the largest share of ``total`` that any amount takes."""
+        shares = [0.0]
+        for field in FIELDS:
+            have = getattr(total, field)
+            need = getattr(self, field)
+            if need > 0:
+                shares.append(need / have if have > 0 else float("inf"))
+        return max(shares)
+
+
+NOTHING = Resources()
+ONE_SLOT = Resources(slots=1.0)
--- /dev/null
+++ b/src/_jasminewind/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform for demos and tests."""
--- /dev/null
+++ b/src/_jasminewind/timers.py
@@ -0,0 +1,81 @@
+"""The timer service that the parts of a process subscribe to."""
+
+import collections.abc
+import dataclasses
+import time
+import typing
+
+from twisted.internet import interfaces
+from twisted.internet import task
+
+from _jasminewind.decisions import core
+
+
+class DelayedCall(typing.Protocol):
+    """A call that a clock will make, as twisted's ``IDelayedCall``."""
+
+    def cancel(self) -> None:
+        """Do not make the call."""
+
+    def active(self) -> int:
+        """Tell whether the call is still to be made."""
+
+
+class Clock(typing.Protocol):
+    """The part of a twisted reactor that tells and keeps time."""
+
+    def seconds(self) -> float:
+        """Return monotonic seconds."""
+
+    # The name is twisted's.
+    def callLater(  # noqa: N802
+        self,
+        delay: float,
+        callable: collections.abc.Callable[..., typing.Any],
+    ) -> DelayedCall:
+        """Call ``callable`` after ``delay`` seconds."""
+
+
+Callback = collections.abc.Callable[[core.Instant], None]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Subscription:
+    """A periodic call that can be cancelled."""
+
+    loop: task.LoopingCall
+
+    def cancel(self) -> None:
+        """Stop calling the subscriber."""
+        if self.loop.running:
+            self.loop.stop()
+
+
+class TimerService:
+    """Calls subscribers with the current instant."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        wall_ms: collections.abc.Callable[[], int] | None = None,
+    ) -> None:
+        self.clock = clock
+        self.wall_ms = wall_ms or (lambda: time.time_ns() // 1_000_000)
+
+    def now(self) -> core.Instant:
+        """Return the current instant."""
+        return core.Instant(self.clock.seconds(), self.wall_ms())
+
+    def every(
+        self, period_s: float, callback: Callback, *, immediately: bool = False
+    ) -> Subscription:
+        """Call ``callback`` every ``period_s`` seconds."""
+        loop = task.LoopingCall(lambda: callback(self.now()))
+        loop.clock = typing.cast(interfaces.IReactorTime, self.clock)
+        loop.start(period_s, now=immediately)
+        return Subscription(loop=loop)
+
+    def after(self, delay_s: float, callback: Callback) -> DelayedCall:
+        """Call ``callback`` once after ``delay_s`` seconds."""
+        return self.clock.callLater(delay_s, lambda: callback(self.now()))
--- /dev/null
+++ b/src/_jasminewind/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Framing and lasting links between the processes."""
--- /dev/null
+++ b/src/_jasminewind/wire/frames.py
@@ -0,0 +1,60 @@
+"""Frames between processes: 4-byte length, then JSON by msgspec."""
+
+import functools
+import typing
+
+import msgspec
+import result
+
+from _jasminewind import errors
+from _jasminewind.messages import registry
+
+MAX_FRAME_BYTES = 1 << 20
+
+
+class Envelope(msgspec.Struct, frozen=True):
+    """Name of the message type, and its fields as undecoded JSON."""
+
+    type: str
+    body: msgspec.Raw
+
+
+class OutgoingEnvelope(msgspec.Struct, frozen=True):
+    """An envelope before its body is encoded."""
+
+    type: str
+    body: typing.Any
+
+
+ENCODER = msgspec.json.Encoder()
+ENVELOPE_DECODER = msgspec.json.Decoder(Envelope)
+
+
+@functools.cache
+def body_decoder(name: str) -> msgspec.json.Decoder | None:
+    """Return the decoder of a message type, ``None`` for unknown names."""
+    kind = registry.BY_NAME.get(name)
+    return None if kind is None else msgspec.json.Decoder(kind)
+
+
+def encode(message: object) -> bytes:
+    """Return the payload of the frame that holds ``message``."""
+    envelope = OutgoingEnvelope(type(message).__name__, message)
+    return ENCODER.encode(envelope)
+
+
+def decode(payload: bytes) -> result.Result[object, errors.WireError]:
+    """Return the message in a frame's payload."""
+    try:
+        envelope = ENVELOPE_DECODER.decode(payload)
+        if envelope.type not in registry.BY_NAME:
+            return result.Err(
+                errors.WireError(
+                    reason=f"unknown message type {envelope.type[:64]!r}"
+                )
+            )
+        decoder = body_decoder(envelope.type)
+        assert decoder is not None
+        return result.Ok(decoder.decode(envelope.body))
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as e:
+        return result.Err(errors.WireError(reason=f"malformed frame: {e}"))
