Add links between processes and the node that drives decisions

Cause: the decisions need a process around them.

Change: connections with greeting, pings and size limits, probes on a new connection, waiting messages that fail as certainly not sent, and a node that carries out the actions of the decisions.

--- /dev/null
+++ b/src/_jasminewind/nodes/node.py
@@ -0,0 +1,192 @@
+"""What every process has: links, timers, decisions and their actions."""
+
+import collections.abc
+import typing
+
+from twisted.internet import defer
+
+from _jasminewind import configuration
+from _jasminewind import members
+from _jasminewind import timers
+from _jasminewind.decisions import core
+from _jasminewind.messages import links as link_messages
+from _jasminewind.platform import client
+from _jasminewind.wire import links
+
+Handler = collections.abc.Callable[[core.Decision, typing.Any], None]
+DecisionSink = collections.abc.Callable[[core.LogDecision], None]
+
+
+class Node(links.LinkOwner):
+    """Drives decisions with messages, time and replies.
+
+    A subclass adds its decisions with :meth:`add` and handlers of actions
+    that only it can carry out to ``handlers``.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: typing.Any,
+        timer_service: timers.TimerService,
+        member: members.Member,
+        table: client.Table,
+        log_decision: DecisionSink,
+        log: typing.Any,
+    ) -> None:
+        self.reactor = reactor
+        self.timers = timer_service
+        self.member = member
+        self.table = table
+        self.log_decision = log_decision
+        self.log = log
+        self.decisions: list[core.Decision] = []
+        self.routes: dict[type, list[core.Decision]] = {}
+        self.ticks: list[timers.Subscription] = []
+        self.links = links.Links(
+            reactor=reactor,
+            timer_service=timer_service,
+            hello=link_messages.Hello(
+                protocol_version=link_messages.PROTOCOL_VERSION,
+                sender=member.node,
+                address=member.address,
+                role=member.role,
+            ),
+            owner=self,
+        )
+        self.handlers: dict[type, Handler] = {
+            core.Send: self._send,
+            core.Probe: self._probe,
+            core.ReadTable: self._read_table,
+            core.WriteTable: self._write_table,
+            core.Apply: self._apply,
+            core.LogDecision: self._log,
+        }
+
+    def add(self, decision: core.Decision) -> None:
+        """Drive ``decision`` with its messages and with time."""
+        self.decisions.append(decision)
+        for kind in decision.handles():
+            self.routes.setdefault(kind, []).append(decision)
+        self.ticks.append(
+            self.timers.every(
+                decision.TICK_S,
+                lambda now: self.perform(decision, decision.on_tick(now)),
+            )
+        )
+
+    def perform(self, decision: core.Decision, actions: core.Actions) -> None:
+        """Carry out what ``decision`` asked for, in order."""
+        for action in actions:
+            self.handlers[type(action)](decision, action)
+
+    def link_message(self, sender: members.NodeId, message: object) -> None:
+        """Give a message to the decisions that handle its type."""
+        now = self.timers.now()
+        for decision in self.routes.get(type(message), ()):
+            self.perform(decision, decision.on_message(sender, message, now))
+
+    def link_lost(self, peer: members.NodeId) -> None:
+        """Tell every decision that a link is gone."""
+        now = self.timers.now()
+        for decision in self.decisions:
+            self.perform(decision, decision.on_link_lost(peer, now))
+
+    def send_failed(self, peer: members.NodeId, message: object) -> None:
+        """Tell every decision that a message was not sent."""
+        now = self.timers.now()
+        for decision in self.decisions:
+            actions = decision.on_send_failed(peer, message, now)
+            self.perform(decision, actions)
+
+    def share_view(self, view: tuple[members.Member, ...]) -> None:
+        """Tell every decision of a changed view of the members."""
+        now = self.timers.now()
+        for decision in self.decisions:
+            self.perform(decision, decision.on_members(view, now))
+
+    def stop_ticks(self) -> None:
+        """Stop driving the decisions with time."""
+        for subscription in self.ticks:
+            subscription.cancel()
+        self.ticks.clear()
+
+    def apply_config(self, config: configuration.Configuration) -> None:
+        """Tell every decision of a configuration that is in force."""
+        now = self.timers.now()
+        for decision in self.decisions:
+            self.perform(decision, decision.on_config(config, now))
+
+    def _send(self, decision: core.Decision, action: core.Send) -> None:
+        del decision
+        if action.to == self.member.node:
+            # A later reactor turn, so that a decision never re-enters
+            # itself while its actions are carried out.
+            self.timers.after(
+                0, lambda now: self.link_message(action.to, action.message)
+            )
+            return
+        self.links.send(action.to, action.address, action.message)
+
+    def _probe(self, decision: core.Decision, action: core.Probe) -> None:
+        def answered(reply: core.ProbeReply) -> None:
+            self.perform(decision, decision.on_probe(reply, self.timers.now()))
+
+        self.links.probe(action.to, action.address).addCallback(answered)
+
+    def _read_table(
+        self, decision: core.Decision, action: core.ReadTable
+    ) -> None:
+        def answered(outcome: typing.Any) -> None:
+            reply = core.TableReadReply(
+                tag=action.tag,
+                rows=outcome.unwrap_or(()),
+                error=outcome.err(),
+            )
+            now = self.timers.now()
+            self.perform(decision, decision.on_table_read(reply, now))
+
+        reading = self.table.read(action.keys, action.prefix)
+        self._finish(reading, answered)
+
+    def _write_table(
+        self, decision: core.Decision, action: core.WriteTable
+    ) -> None:
+        def answered(outcome: typing.Any) -> None:
+            reply = core.TableWriteReply(
+                tag=action.tag,
+                key=action.key,
+                version=outcome.unwrap_or(0),
+                error=outcome.err(),
+            )
+            now = self.timers.now()
+            self.perform(decision, decision.on_table_written(reply, now))
+
+        writing = self.table.write(
+            action.key, action.expected_version, action.value
+        )
+        self._finish(writing, answered)
+
+    def _finish(
+        self,
+        calling: defer.Deferred[typing.Any],
+        answered: collections.abc.Callable[[typing.Any], None],
+    ) -> None:
+        calling.addCallback(answered)
+        calling.addErrback(self.report_failure)
+
+    def report_failure(self, failure: typing.Any) -> None:
+        """Log an unexpected exception with its traceback."""
+        self.log.error(
+            "unexpected exception; please report it",
+            error=repr(failure.value),
+            traceback=failure.getTraceback(),
+        )
+
+    def _apply(self, decision: core.Decision, action: core.Apply) -> None:
+        del decision
+        self.apply_config(action.config)
+
+    def _log(self, decision: core.Decision, action: core.LogDecision) -> None:
+        del decision
+        self.log_decision(action)
--- /dev/null
+++ b/src/_jasminewind/wire/connections.py
@@ -0,0 +1,205 @@
+"""One TCP connection between two processes."""
+
+import abc
+import collections.abc
+import typing
+
+import automat
+from twisted.internet import protocol
+from twisted.protocols import basic
+
+from _jasminewind import members
+from _jasminewind.messages import links as link_messages
+from _jasminewind.wire import frames
+
+LENGTH_BYTES = 4
+
+
+class Owner(abc.ABC):
+    """The part of a process that its connections report to."""
+
+    hello: link_messages.Hello
+
+    @abc.abstractmethod
+    def connection_ready(self, connection: "Connection") -> None:
+        """Both sides have sent a ``Hello`` that the other accepts."""
+
+    @abc.abstractmethod
+    def connection_message(
+        self, connection: "Connection", message: object
+    ) -> None:
+        """The peer of a ready connection sent a message."""
+
+    @abc.abstractmethod
+    def connection_closed(self, connection: "Connection", reason: str) -> None:
+        """The connection is closed and sends nothing more."""
+
+    @abc.abstractmethod
+    def seconds(self) -> float:
+        """Return monotonic seconds."""
+
+
+class Lifecycle:
+    """States of a connection: greeting, ready, closed."""
+
+    machine = automat.MethodicalMachine()
+
+    def __init__(
+        self,
+        *,
+        on_ready: collections.abc.Callable[[], None],
+        on_closed: collections.abc.Callable[[str], None],
+    ) -> None:
+        self.on_ready = on_ready
+        self.on_closed = on_closed
+
+    @machine.state(initial=True)
+    def greeting(self) -> None:
+        """The peer has not identified itself yet."""
+
+    @machine.state()
+    def ready(self) -> None:
+        """Both sides know each other."""
+
+    @machine.state()
+    def closed(self) -> None:
+        """The connection is gone."""
+
+    @machine.input()
+    def greeted(self) -> None:
+        """The peer sent an acceptable ``Hello``."""
+
+    @machine.input()
+    def lost(self, reason: str) -> None:
+        """The connection was closed by either side."""
+
+    @machine.output()
+    def tell_ready(self) -> None:
+        """Report the connection as ready."""
+        self.on_ready()
+
+    @machine.output()
+    def tell_closed(self, reason: str) -> None:
+        """Report the connection as closed."""
+        self.on_closed(reason)
+
+    greeting.upon(greeted, enter=ready, outputs=[tell_ready])
+    greeting.upon(lost, enter=closed, outputs=[tell_closed])
+    ready.upon(greeted, enter=ready, outputs=[])
+    ready.upon(lost, enter=closed, outputs=[tell_closed])
+    closed.upon(greeted, enter=closed, outputs=[])
+    closed.upon(lost, enter=closed, outputs=[])
+
+
+class Connection(basic.Int32StringReceiver):
+    """Frames over one TCP connection, with greeting and probing.
+
+    ``expected`` is the process that the initiator wants to reach, and
+    ``None`` on the accepting side.
+    """
+
+    # The name is twisted's.
+    MAX_LENGTH = frames.MAX_FRAME_BYTES
+
+    def __init__(
+        self, *, owner: Owner, expected: members.NodeId | None
+    ) -> None:
+        self.owner = owner
+        self.expected = expected
+        self.peer: link_messages.Hello | None = None
+        self.is_ready = False
+        self.last_received_s = owner.seconds()
+        self.ping_sent_s: float | None = None
+        self.bytes_in = 0
+        self.bytes_out = 0
+        self.close_reason = "the peer closed the connection"
+        self.lifecycle = Lifecycle(
+            on_ready=self._tell_ready, on_closed=self._tell_closed
+        )
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Greet the peer."""
+        transport = typing.cast(typing.Any, self.transport)
+        transport.setTcpNoDelay(True)
+        self.send(self.owner.hello)
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        """Decode one frame and act on it."""
+        self.bytes_in += LENGTH_BYTES + len(string)
+        self.last_received_s = self.owner.seconds()
+        self.ping_sent_s = None
+        decoded = frames.decode(string)
+        if decoded.is_err():
+            self.close(decoded.unwrap_err().reason)
+            return
+        self._receive(decoded.unwrap())
+
+    def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
+        """Close on a frame above the limit."""
+        self.close(f"frame of {length} bytes is above the limit")
+
+    def connectionLost(  # noqa: N802
+        self, reason: typing.Any = protocol.connectionDone
+    ) -> None:
+        """Report the end of the connection."""
+        self.lifecycle.lost(self.close_reason)
+
+    def send(self, message: object) -> None:
+        """Write one message."""
+        payload = frames.encode(message)
+        self.bytes_out += LENGTH_BYTES + len(payload)
+        self.sendString(payload)
+
+    def ping(self, now_s: float) -> None:
+        """Ask the peer for a sign of life."""
+        self.ping_sent_s = now_s
+        self.send(link_messages.Ping(nonce=int(now_s * 1000)))
+
+    def close(self, reason: str) -> None:
+        """Drop the connection at once."""
+        self.close_reason = reason
+        if self.transport is not None:
+            typing.cast(typing.Any, self.transport).abortConnection()
+
+    def peer_node(self) -> members.NodeId | None:
+        """Return the process at the other end, once it is known."""
+        return None if self.peer is None else self.peer.sender
+
+    def peer_address(self) -> members.Address:
+        """Return where the process at the other end accepts links."""
+        return members.NO_ADDRESS if self.peer is None else self.peer.address
+
+    def _receive(self, message: object) -> None:
+        if isinstance(message, link_messages.Ping):
+            self.send(link_messages.Pong(nonce=message.nonce))
+        elif isinstance(message, link_messages.Pong):
+            return
+        elif isinstance(message, link_messages.Hello):
+            self._greet(message)
+        elif isinstance(message, link_messages.HelloRefused):
+            self.close(f"the peer refused the link: {message.reason}")
+        elif self.is_ready:
+            self.owner.connection_message(self, message)
+        else:
+            self.close("message before the Hello")
+
+    def _greet(self, hello: link_messages.Hello) -> None:
+        if hello.protocol_version != link_messages.PROTOCOL_VERSION:
+            reason = (
+                f"protocol version {hello.protocol_version}, need "
+                f"{link_messages.PROTOCOL_VERSION}; upgrade the older process"
+            )
+            self.send(link_messages.HelloRefused(reason=reason))
+            self.close_reason = reason
+            typing.cast(typing.Any, self.transport).loseConnection()
+            return
+        self.peer = hello
+        self.lifecycle.greeted()
+
+    def _tell_ready(self) -> None:
+        self.is_ready = True
+        self.owner.connection_ready(self)
+
+    def _tell_closed(self, reason: str) -> None:
+        self.is_ready = False
+        self.owner.connection_closed(self, reason)
--- /dev/null
+++ b/src/_jasminewind/wire/probes.py
@@ -0,0 +1,78 @@
+"""Probe of an address on a new connection."""
+
+import typing
+
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import error
+from twisted.internet import protocol
+from twisted.protocols import basic
+
+from _jasminewind import members
+from _jasminewind.decisions import core
+from _jasminewind.messages import links as link_messages
+from _jasminewind.wire import frames
+
+PROBE_TIMEOUT_S = 1.5
+
+
+class ProbeProtocol(basic.Int32StringReceiver):
+    """Asks for the identity of a process and one answered ping.
+
+    It sends no ``Hello``, so that the process probed does not take the
+    connection for a link.
+    """
+
+    # The name is twisted's.
+    MAX_LENGTH = frames.MAX_FRAME_BYTES
+
+    def __init__(self) -> None:
+        self.found: members.NodeId | None = None
+        self.answered: defer.Deferred[members.NodeId | None] = defer.Deferred()
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Send the ping."""
+        self.sendString(frames.encode(link_messages.Ping(nonce=0)))
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        """Keep the identity; finish on the pong."""
+        message = frames.decode(string).unwrap_or(None)
+        if isinstance(message, link_messages.Hello):
+            self.found = message.sender
+        elif isinstance(message, link_messages.Pong):
+            self.finish(self.found)
+
+    def connectionLost(  # noqa: N802
+        self, reason: typing.Any = protocol.connectionDone
+    ) -> None:
+        """Finish without an answer."""
+        self.finish(None)
+
+    def finish(self, found: members.NodeId | None) -> None:
+        """Report the outcome once and drop the connection."""
+        if self.answered.called:
+            return
+        self.answered.callback(found)
+        if self.transport is not None:
+            typing.cast(typing.Any, self.transport).abortConnection()
+
+
+def probe(
+    reactor: typing.Any, to: members.NodeId, address: members.Address
+) -> defer.Deferred[core.ProbeReply]:
+    """Return who answers at ``address`` within ``PROBE_TIMEOUT_S``."""
+    prober = ProbeProtocol()
+    endpoint = endpoints.TCP4ClientEndpoint(
+        reactor, address.host, address.port, timeout=PROBE_TIMEOUT_S
+    )
+    connecting = endpoints.connectProtocol(endpoint, prober)
+    connecting.addErrback(_give_up, prober)
+    reactor.callLater(PROBE_TIMEOUT_S, prober.finish, None)
+    return prober.answered.addCallback(
+        lambda found: core.ProbeReply(to=to, found=found)
+    )
+
+
+def _give_up(failure: typing.Any, prober: ProbeProtocol) -> None:
+    failure.trap(error.ConnectError, error.ConnectionAborted)
+    prober.finish(None)
