--- a/src/_jasminewind/members.py
+++ b/src/_jasminewind/members.py
@@ -52,6 +52,22 @@
     port: int
 
 
+# Stands for the process behind a seed, whose name its Hello will tell: the
+# link is chosen by the address alone.
+UNNAMED = NodeId("", 0)
+# Stands for an address that is not known: the message goes out on an open
+# link to its receiver, and is reported as failed when there is none.
+NO_ADDRESS = Address("", 0)
+
+
+@dataclasses.dataclass(frozen=True, order=True, kw_only=True)
+class Contact:
+    """A process and where to reach it."""
+
+    node: NodeId
+    address: Address
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Endpoint:
     """An endpoint as it announced itself.
@@ -83,7 +99,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Member:
-    """Record that a process announces about itself."""
+    """Record that a process announces about itself.
+
+    ``sequence`` rises with every change other than of ``load`` and
+    ``config_version``. ``suspect`` is set by the receiver in its own view:
+    the process is silent and gets no new work.
+    """
 
     node: NodeId
     address: Address
@@ -97,3 +118,4 @@
     shards: tuple[int, ...] = ()
     config_version: int = 0
     sequence: int = 0
+    suspect: bool = False
--- a/src/_jasminewind/messages/configuration.py
+++ b/src/_jasminewind/messages/configuration.py
@@ -15,16 +15,26 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ConfigAck:
-    """The sender has applied this version or a higher one."""
+    """The sender has applied this version or a higher one.
+
+    ``nonce`` is that of the ``ConfigFetch`` which this answers, or 0.
+    """
 
     version: int
+    nonce: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ConfigFetch:
-    """Ask for the configuration; the receiver has seen a higher version."""
+    """Ask for the configuration if it is newer than ``have_version``.
+
+    It is answered by a ``ConfigPush``, by a ``ConfigAck`` when it is not
+    newer and the sender is an entry, or by a ``ConfigBeacon`` when the
+    sender is an agent. ``nonce`` returns in the ``ConfigAck``.
+    """
 
     have_version: int
+    nonce: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -33,10 +43,12 @@
 
     ``fresh`` is true when the sender is a fresh entry, or an agent that
     heard from one within the freshness limit. ``age_s`` says how long ago
-    the fresh entry confirmed the version.
+    the fresh entry confirmed the version. ``entries`` are the registered
+    entries, sent now and then and empty otherwise.
     """
 
     sender: members.NodeId
     version: int
     fresh: bool
     age_s: float
+    entries: tuple[members.Contact, ...] = ()
