--- /dev/null
+++ b/src/_jasminewind/decisions/claims.py
@@ -0,0 +1,294 @@
+"""Taking over shards: takeover, claim of unowned and orphaned shards."""
+
+import enum
+
+from _jasminewind import errors
+from _jasminewind import members
+from _jasminewind import shards
+from _jasminewind.decisions import core
+from _jasminewind.decisions import holdings
+from _jasminewind.decisions import neighbours
+from _jasminewind.decisions import promises
+from _jasminewind.decisions import rows
+from _jasminewind.messages import ownership as messages
+
+SILENCE_S = 3.0
+# The second successor waits for the first, so that both rarely race.
+SUCCESSOR_STEP_S = 1.0
+# A false claim of an orphan keeps its ids out for the whole span, so that
+# the members must be absent for longer than a replacement takes to join.
+ORPHAN_WAIT_S = 20.0
+RANK_STEP_S = 2.0
+SETTLE_S = 3.0
+RETRY_S = 1.0
+READ_EVERY_S = 60.0
+READ_UNOWNED_S = 2.0
+
+
+class Reason(enum.StrEnum):
+    """Why a shard may be claimed."""
+
+    FIRST = "the shard never had an owner"
+    CLOSED = "its owner closed it"
+    SILENT = "its owner is silent and a probe failed"
+    ASKED = "its owner is leaving and asked for it"
+    ORPHAN = "its owner and successors are gone"
+
+
+class Claims:
+    """Writes that make this process the owner of a shard.
+
+    ``writes`` holds the unresolved ones; while a shard is in it, this
+    process grants no promise for the shard.
+    """
+
+    def __init__(
+        self,
+        *,
+        cell: neighbours.Neighbours,
+        book: promises.PromiseBook,
+    ) -> None:
+        self.cell = cell
+        self.book = book
+        self.writes: dict[int, holdings.Write] = {}
+        self.asked: dict[int, messages.TakeOverRequest] = {}
+        self.unowned_s: dict[int, float] = {}
+        self.read_s: float | None = None
+        self.leaving = False
+
+    def is_writing(self, shard: int) -> bool:
+        """Tell whether a write for ``shard`` is unresolved."""
+        return shard in self.writes
+
+    def on_asked(
+        self, request: messages.TakeOverRequest, sender: members.NodeId
+    ) -> core.Actions:
+        """Handle the request of a leaving owner."""
+        del sender
+        if self.leaving:
+            return []
+        self.asked[request.shard] = request
+        return [read_row(request.shard)]
+
+    def on_tick(
+        self, others: tuple[int, ...], now: core.Instant
+    ) -> core.Actions:
+        """Watch the shards in ``others``, which this process lacks."""
+        actions: core.Actions = []
+        for shard in tuple(self.writes):
+            actions += self.retry(shard, now)
+        if not self.is_settled(now):
+            return actions
+        is_urgent = False
+        for shard in others:
+            row = self.cell.rows.get(shard)
+            if row is None or row.closed:
+                is_urgent = True
+            else:
+                actions += self.watch(row, now)
+                is_urgent = is_urgent or self.reason(row, now) is not None
+        period_s = READ_UNOWNED_S if is_urgent else READ_EVERY_S
+        if others and self.is_read_due(period_s, now):
+            self.read_s = now.mono_s - self.cell.rng.random() * period_s / 4
+            actions.append(
+                core.ReadTable(tag="ownership:rows", prefix="shard/")
+            )
+        return actions
+
+    def is_settled(self, now: core.Instant) -> bool:
+        """Tell whether the view had time to fill after the start."""
+        since = self.cell.view_since_s
+        return since is not None and now.mono_s - since >= SETTLE_S
+
+    def is_read_due(self, period_s: float, now: core.Instant) -> bool:
+        """Tell whether the rows should be read now."""
+        return self.read_s is None or now.mono_s - self.read_s >= period_s
+
+    def watch(self, row: shards.ShardRow, now: core.Instant) -> core.Actions:
+        """Probe the processes of a row whose owner is silent."""
+        owner, *successors = rows.names(row)
+        if self.cell.silence_s(owner.node, now) < SILENCE_S:
+            return []
+        actions = self.cell.probe(owner, now)
+        if self.are_absent(row, now):
+            for successor in successors:
+                actions += self.cell.probe(successor, now)
+        return actions
+
+    def are_absent(self, row: shards.ShardRow, now: core.Instant) -> bool:
+        """Tell whether all processes of ``row`` left the view long ago."""
+        return all(
+            peer.node != self.cell.member.node
+            and self.cell.absence_s(peer.node, now) >= ORPHAN_WAIT_S
+            for peer in rows.names(row)
+        )
+
+    def reason(self, row: shards.ShardRow, now: core.Instant) -> Reason | None:
+        """Return why this process may claim the shard now, if it may."""
+        asked = self.asked.get(row.shard)
+        nodes = [s.node for s in row.successors]
+        own = self.cell.member.node
+        if row.closed:
+            return Reason.CLOSED
+        if own in nodes:
+            if asked is not None and asked.epoch == row.current.epoch:
+                return Reason.ASKED
+            wait_s = SILENCE_S + SUCCESSOR_STEP_S * nodes.index(own)
+            silent = self.cell.silence_s(row.current.owner, now) >= wait_s
+            if silent and self.cell.is_gone(row.current.owner, now):
+                return Reason.SILENT
+            return None
+        gone = all(self.cell.is_gone(p.node, now) for p in rows.names(row))
+        if self.are_absent(row, now) and gone:
+            return Reason.ORPHAN
+        return None
+
+    def decide(
+        self,
+        shard: int,
+        row: shards.ShardRow | None,
+        version: int,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Claim the shard if its row, just read, allows it."""
+        if self.leaving or not rows.may_coordinate(self.cell.member):
+            return []
+        reason = Reason.FIRST if row is None else self.reason(row, now)
+        if reason is None:
+            self.unowned_s.pop(shard, None)
+            return []
+        if reason not in (Reason.SILENT, Reason.ASKED):
+            since = self.unowned_s.setdefault(shard, now.mono_s)
+            turn_s = RANK_STEP_S * self.cell.rank_turn(shard)
+            if not self.is_settled(now) or now.mono_s - since < turn_s:
+                return []
+        claimed = self.claimed_row(shard, row, reason, now)
+        return self.send(claimed, version, reason, now)
+
+    def claimed_row(
+        self,
+        shard: int,
+        row: shards.ShardRow | None,
+        reason: Reason,
+        now: core.Instant,
+    ) -> shards.ShardRow:
+        """Return the row that makes this process the owner."""
+        write_id = self.cell.write_id()
+        if row is None:
+            return rows.first_row(
+                shard,
+                owner=self.cell.member,
+                wall_ms=now.wall_ms,
+                successors=self.cell.successors(shard),
+                write_id=write_id,
+            )
+        floor_ms = self.floor_ms(row, reason)
+        ceiling_ms = floor_ms
+        if floor_ms > now.wall_ms + rows.AHEAD_LIMIT_MS:
+            # Nothing can be accepted yet. Keeping the earlier ceiling
+            # keeps the floor of a further claim where it is.
+            ceiling_ms = min(floor_ms, row.current.ceiling_ms)
+        dead = () if reason is Reason.ASKED else (row.current.owner,)
+        return rows.succeed(
+            row,
+            owner=self.cell.member,
+            floor_ms=floor_ms,
+            ceiling_ms=ceiling_ms,
+            successors=self.cell.successors(shard, avoid=dead),
+            write_id=write_id,
+        )
+
+    def floor_ms(self, row: shards.ShardRow, reason: Reason) -> int:
+        """Return the lowest floor that is safe for a claim of ``row``."""
+        if reason is Reason.ASKED:
+            return max(self.asked[row.shard].closed_ms, row.current.floor_ms)
+        if reason is Reason.SILENT:
+            return max(
+                row.current.floor_ms,
+                row.current.ceiling_ms,
+                self.book.floor_ms(row.shard),
+            )
+        return rows.possible_ceiling(row)
+
+    def send(
+        self,
+        row: shards.ShardRow,
+        version: int,
+        reason: Reason,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Write the row; promises stop until the outcome is known."""
+        write = holdings.Write(
+            row=row, expected_version=version, sent_s=now.mono_s
+        )
+        self.writes[row.shard] = write
+        return [
+            write_row(write),
+            core.LogDecision(
+                kind="claim",
+                choice=str(self.cell.member.node),
+                candidates=tuple(str(s.node) for s in row.successors),
+                reason=(
+                    f"shard {row.shard} epoch {row.current.epoch} "
+                    f"floor {row.current.floor_ms}: {reason.value}"
+                ),
+            ),
+        ]
+
+    def retry(self, shard: int, now: core.Instant) -> core.Actions:
+        """Read the row of a write whose outcome is still unknown."""
+        write = self.writes[shard]
+        if now.mono_s - write.sent_s < RETRY_S:
+            return []
+        write.sent_s = now.mono_s
+        return [read_row(shard)]
+
+    def settle(
+        self, row: shards.ShardRow | None, version: int, shard: int
+    ) -> tuple[core.Actions, bool]:
+        """Compare a row read with the unresolved write.
+
+        Returns actions and whether this process is now the owner.
+        """
+        write = self.writes[shard]
+        if version <= write.expected_version:
+            write.sends += 1
+            return [write_row(write)], False
+        del self.writes[shard]
+        is_own = row is not None and row.write_id == write.row.write_id
+        return [], is_own
+
+    def written(
+        self, reply: core.TableWriteReply, shard: int
+    ) -> tuple[core.Actions, shards.ShardRow | None]:
+        """Handle the reply to a write; return the row if it took effect."""
+        write = self.writes[shard]
+        if reply.error is None:
+            del self.writes[shard]
+            return [], write.row
+        never_sent = (
+            reply.error.failure is errors.TableFailure.NOT_SENT
+            and write.sends == 1
+        )
+        if never_sent:
+            del self.writes[shard]
+            return [], None
+        return [read_row(shard)], None
+
+
+def read_row(shard: int) -> core.ReadTable:
+    """Return the action that reads one row."""
+    return core.ReadTable(
+        tag=f"ownership:row:{shard}", keys=(shards.row_key(shard),)
+    )
+
+
+def write_row(write: holdings.Write) -> core.WriteTable:
+    """Return the action that sends a write, for the first time or again."""
+    row = write.row
+    return core.WriteTable(
+        tag=f"ownership:write:{row.shard}:{row.write_id}",
+        key=shards.row_key(row.shard),
+        expected_version=write.expected_version,
+        value=rows.encode(row),
+    )
--- /dev/null
+++ b/src/_jasminewind/decisions/neighbours.py
@@ -0,0 +1,142 @@
+"""What a process knows of its cell: members, rows and who is silent."""
+
+import random
+
+from _jasminewind import configuration
+from _jasminewind import ids
+from _jasminewind import members
+from _jasminewind import shards
+from _jasminewind.decisions import core
+from _jasminewind.decisions import rows
+
+# A probe result older than this is not evidence of a failure any more.
+PROBE_VALID_S = 5.0
+PROBE_EVERY_S = 1.0
+
+
+class Neighbours:
+    """Members of the cell, known rows and evidence of silence."""
+
+    def __init__(self, *, member: members.Member, rng: random.Random) -> None:
+        self.member = member
+        self.rng = rng
+        self.config = configuration.NO_CONFIGURATION
+        self.view: tuple[members.Member, ...] = ()
+        self.view_since_s: float | None = None
+        self.rows: dict[int, shards.ShardRow] = {}
+        self.heard_s: dict[members.NodeId, float] = {}
+        self.present_s: dict[members.NodeId, float] = {}
+        self.gone_s: dict[members.NodeId, float] = {}
+        self.probed_s: dict[members.NodeId, float] = {}
+        self.writes = 0
+
+    def cell_shards(self) -> tuple[int, ...]:
+        """Return the shards that belong to this process's cell."""
+        if self.config.version == 0:
+            return ()
+        cells = max(1, self.config.cell_count)
+        cell = ids.shard_of(self.member.node.name, shard_count=cells)
+        count = self.config.shard_count
+        return tuple(s for s in range(count) if s % cells == cell)
+
+    def set_view(
+        self, view: tuple[members.Member, ...], now: core.Instant
+    ) -> None:
+        """Take over a view, with or without this process in it."""
+        own = [m for m in view if m.node == self.member.node]
+        if own:
+            self.member = own[0]
+        self.note_presence(now)
+        self.view = tuple(m for m in view if m.node != self.member.node)
+        self.note_presence(now)
+        if self.view_since_s is None:
+            self.view_since_s = now.mono_s
+
+    def note_presence(self, now: core.Instant) -> None:
+        """Record that the members of the view are in it now."""
+        for member in self.view:
+            self.present_s[member.node] = now.mono_s
+
+    def is_live(self, node: members.NodeId) -> bool:
+        """Tell whether exactly this incarnation is in the view."""
+        return any(m.node == node for m in self.view)
+
+    def hear(self, node: members.NodeId, now: core.Instant) -> None:
+        """Note a sign of life of ``node``."""
+        self.heard_s[node] = now.mono_s
+        self.gone_s.pop(node, None)
+
+    def silence_s(self, node: members.NodeId, now: core.Instant) -> float:
+        """Return the time since ``node`` was heard, from first interest."""
+        return now.mono_s - self.heard_s.setdefault(node, now.mono_s)
+
+    def absence_s(self, node: members.NodeId, now: core.Instant) -> float:
+        """Return how long ``node`` has not been in the view."""
+        return now.mono_s - self.present_s.setdefault(node, now.mono_s)
+
+    def is_gone(self, node: members.NodeId, now: core.Instant) -> bool:
+        """Tell whether a recent probe on a new connection failed."""
+        found = self.gone_s.get(node)
+        return found is not None and now.mono_s - found <= PROBE_VALID_S
+
+    def probe(self, peer: shards.Successor, now: core.Instant) -> core.Actions:
+        """Probe ``peer`` unless that was just done."""
+        last = self.probed_s.get(peer.node)
+        if last is not None and now.mono_s - last < PROBE_EVERY_S:
+            return []
+        self.probed_s[peer.node] = now.mono_s
+        return [core.Probe(to=peer.node, address=peer.address)]
+
+    def on_probe(self, reply: core.ProbeReply, now: core.Instant) -> None:
+        """Take the result of a probe as a sign of life or of failure."""
+        if reply.found == reply.to:
+            self.hear(reply.to, now)
+        else:
+            self.gone_s[reply.to] = now.mono_s
+
+    def learn(self, row: shards.ShardRow) -> bool:
+        """Keep ``row`` if it is newer; return whether its epoch is new."""
+        known = self.rows.get(row.shard)
+        if known is None:
+            self.rows[row.shard] = row
+            return True
+        new = (row.current.epoch, row.closed, row.current.ceiling_ms)
+        old = (known.current.epoch, known.closed, known.current.ceiling_ms)
+        if new >= old:
+            self.rows[row.shard] = row
+        return new[0] > old[0]
+
+    def rank_turn(self, shard: int) -> int:
+        """Return this process's place among the claimants of a shard."""
+        key = shards.row_key(shard)
+        own = ids.rank(key, self.member.node.name)
+        return sum(
+            ids.rank(key, member.node.name) < own
+            for member in self.view
+            if rows.may_coordinate(member)
+        )
+
+    def write_id(self) -> str:
+        """Return a new id for a write."""
+        self.writes += 1
+        return (
+            f"{self.member.node}:{self.writes}:{self.rng.getrandbits(32):08x}"
+        )
+
+    def successors(
+        self,
+        shard: int,
+        *,
+        keep: tuple[members.NodeId, ...] = (),
+        avoid: tuple[members.NodeId, ...] = (),
+        prefer: members.NodeId | None = None,
+    ) -> tuple[shards.Successor, ...]:
+        """Choose successors for a shard of this process."""
+        return rows.choose_successors(
+            shard,
+            owner=self.member,
+            view=self.view,
+            keep=keep,
+            avoid=avoid,
+            prefer=prefer,
+        )
--- /dev/null
+++ b/src/_jasminewind/decisions/ownership.py
@@ -0,0 +1,506 @@
+"""Ownership of shards: who may start which ids.
+
+The rules are in section 5 of ``docs/design.md``. This module joins the
+owner's side (:mod:`tenures`), the successor's side (:mod:`promises` and
+:mod:`claims`) and the giving away of shards (:mod:`departures`).
+"""
+
+import collections.abc
+import dataclasses
+import enum
+import random
+
+import msgspec
+
+from _jasminewind import configuration
+from _jasminewind import ids
+from _jasminewind import members
+from _jasminewind import shards
+from _jasminewind.decisions import claims
+from _jasminewind.decisions import core
+from _jasminewind.decisions import departures
+from _jasminewind.decisions import neighbours
+from _jasminewind.decisions import promises
+from _jasminewind.decisions import rows
+from _jasminewind.decisions import tenures
+from _jasminewind.messages import ownership as messages
+from _jasminewind.messages import work
+
+ANNOUNCE_EVERY_S = 1.0
+
+
+class Standing(enum.StrEnum):
+    """What this process may do with an id.
+
+    ``ACCEPT``: the id is in an interval of this process. ``AHEAD``: it is
+    above the ceiling of a shard that this process owns. ``EARLIER``: it
+    is at or below the floor of the shard. ``NOT_OWNER``: another process
+    owns the shard. ``UNKNOWN``: no owner is known.
+    """
+
+    ACCEPT = "accept"
+    AHEAD = "ahead"
+    EARLIER = "earlier"
+    NOT_OWNER = "not_owner"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Verdict:
+    """Judgement of an id.
+
+    ``interval`` is the known interval that covers the id: an earlier one
+    for ``EARLIER`` (``None`` when nobody is known to have held it, so that
+    the id may have run), the current one for ``NOT_OWNER``. ``ahead_ms``
+    is the distance above the ceiling for ``AHEAD``.
+    """
+
+    standing: Standing
+    shard: int
+    interval: shards.Interval | None = None
+    ahead_ms: int = 0
+
+
+class Ownership(core.Decision):
+    """The shards of one process.
+
+    ``entries`` are the entries to announce owners to, besides the members
+    of the view; the node fills it.
+    """
+
+    def __init__(self, *, member: members.Member, rng: random.Random) -> None:
+        self.cell = neighbours.Neighbours(member=member, rng=rng)
+        self.book = promises.PromiseBook()
+        self.claims = claims.Claims(cell=self.cell, book=self.book)
+        self.tenures = tenures.Tenures(cell=self.cell)
+        self.departures = departures.Departures(
+            cell=self.cell, owned=self.tenures
+        )
+        self.entries: dict[members.NodeId, members.Address] = {}
+        self.retained: dict[int, int] = {}
+        self.releases: dict[str, int] = {}
+        self.announced: dict[int, Announced] = {}
+
+    def handles(self) -> collections.abc.Iterable[type]:
+        """Return the message types of the ownership protocol."""
+        return (
+            messages.PromiseRequest,
+            messages.PromiseReply,
+            messages.OwnerAnnounce,
+            messages.TakeOverRequest,
+            messages.HandOverAck,
+        )
+
+    # Questions of the coordinator.
+
+    def judge(self, work_id: str, now: core.Instant) -> Verdict:
+        """Tell whether this process may accept ``work_id`` now."""
+        del now
+        count = self.cell.config.shard_count
+        shard = ids.shard_of(work_id, shard_count=count)
+        time_ms = ids.time_ms(work_id)
+        if time_ms <= self.retained.get(shard, 0):
+            if self.tenures.held(shard):
+                return Verdict(standing=Standing.EARLIER, shard=shard)
+        for holding in self.tenures.held(shard):
+            if holding.covers(time_ms):
+                holding.highest_ms = max(holding.highest_ms, time_ms)
+                return Verdict(standing=Standing.ACCEPT, shard=shard)
+        current = self.tenures.current.get(shard)
+        if current is None:
+            return self.judge_foreign(shard, time_ms)
+        if time_ms <= current.floor_ms:
+            return self.judge_earlier(current.row, time_ms)
+        if current.frozen:
+            return Verdict(standing=Standing.NOT_OWNER, shard=shard)
+        return Verdict(
+            standing=Standing.AHEAD,
+            shard=shard,
+            ahead_ms=time_ms - current.ceiling_ms,
+        )
+
+    def judge_foreign(self, shard: int, time_ms: int) -> Verdict:
+        """Judge an id of a shard that another process may own."""
+        row = self.cell.rows.get(shard)
+        if row is None:
+            return Verdict(standing=Standing.UNKNOWN, shard=shard)
+        if time_ms <= row.current.floor_ms:
+            return self.judge_earlier(row, time_ms)
+        if row.current.owner == self.cell.member.node or row.closed:
+            return Verdict(standing=Standing.UNKNOWN, shard=shard)
+        return Verdict(
+            standing=Standing.NOT_OWNER, shard=shard, interval=row.current
+        )
+
+    def judge_earlier(self, row: shards.ShardRow, time_ms: int) -> Verdict:
+        """Judge an id at or below the floor of ``row``."""
+        covering = (i for i in row.earlier if i.covers(time_ms))
+        return Verdict(
+            standing=Standing.EARLIER,
+            shard=row.shard,
+            interval=next(covering, None),
+        )
+
+    def wants(self, work_id: str, now: core.Instant) -> core.Actions:
+        """Extend the interval for an id that is ahead of it."""
+        count = self.cell.config.shard_count
+        shard = ids.shard_of(work_id, shard_count=count)
+        if shard not in self.tenures.current:
+            return []
+        actions = self.tenures.ask(shard, ids.time_ms(work_id), now)
+        return actions + self.announce_changes(now)
+
+    def rows(self) -> tuple[shards.ShardRow, ...]:
+        """Return the newest known row of each shard."""
+        known = dict(self.cell.rows)
+        for shard, holding in self.tenures.current.items():
+            known[shard] = holding.shown_row()
+        return tuple(known[shard] for shard in sorted(known))
+
+    def owned(self) -> tuple[int, ...]:
+        """Return the shards that this process owns and may extend."""
+        return tuple(
+            sorted(
+                shard
+                for shard, holding in self.tenures.current.items()
+                if not holding.frozen
+            )
+        )
+
+    def raise_floor(self, shard: int, floor_ms: int) -> None:
+        """Answer ids at or below ``floor_ms`` as forgotten."""
+        self.retained[shard] = max(floor_ms, self.retained.get(shard, 0))
+
+    # Leaving.
+
+    def begin_leave(self, now: core.Instant) -> core.Actions:
+        """Give away every shard."""
+        self.claims.leaving = True
+        return self.departures.begin_leave(now)
+
+    def has_left(self) -> bool:
+        """Tell whether every shard and every record was given away."""
+        return self.departures.has_left() and not self.claims.writes
+
+    def hand_over(
+        self, answers: tuple[work.Answer, ...], now: core.Instant
+    ) -> core.Actions:
+        """Send finished records to the new owners of their shards."""
+        by_shard: dict[int, list[work.Answer]] = {}
+        count = self.cell.config.shard_count
+        for answer in answers:
+            shard = ids.shard_of(answer.work_id, shard_count=count)
+            by_shard.setdefault(shard, []).append(answer)
+        for shard, group in by_shard.items():
+            held = self.tenures.held(shard)
+            epoch = max((h.row.current.epoch for h in held), default=0)
+            self.departures.hand_over(shard, tuple(group), epoch)
+        return self.departures.on_tick(now)
+
+    def release(self, shard: int, now: core.Instant) -> core.Actions:
+        """Close the row of a shard whose processes are surely gone.
+
+        An operator vouches for that. The request is refused in the
+        decision log when one of the processes is a live member.
+        """
+        del now
+        return [
+            core.ReadTable(
+                tag=f"ownership:release:{shard}",
+                keys=(shards.row_key(shard),),
+            )
+        ]
+
+    def release_row(
+        self, row: shards.ShardRow, version: int, now: core.Instant
+    ) -> core.Actions:
+        """Close a row that was just read."""
+        own = self.cell.member.node
+        live = [
+            str(peer.node)
+            for peer in rows.names(row)
+            if peer.node == own or self.cell.is_live(peer.node)
+        ]
+        if live or row.closed:
+            reason = (
+                f"shard {row.shard} is not released: "
+                f"{', '.join(live)} still live; stop them first"
+            )
+            if row.closed:
+                reason = f"shard {row.shard} is closed already"
+            return [core.LogDecision(kind="release", reason=reason)]
+        closed = departures.closed_for_release(
+            row, wall_ms=now.wall_ms, write_id=self.cell.write_id()
+        )
+        tag = f"ownership:write:{row.shard}:{closed.write_id}"
+        self.releases[closed.write_id] = row.shard
+        return [
+            core.WriteTable(
+                tag=tag,
+                key=shards.row_key(row.shard),
+                expected_version=version,
+                value=rows.encode(closed),
+            ),
+        ]
+
+    # Events.
+
+    def on_config(
+        self, config: configuration.Configuration, now: core.Instant
+    ) -> core.Actions:
+        """Take over the number of shards and cells."""
+        del now
+        if config.version >= self.cell.config.version:
+            self.cell.config = config
+        return []
+
+    def on_members(
+        self, view: tuple[members.Member, ...], now: core.Instant
+    ) -> core.Actions:
+        """Take over the view of the live members."""
+        self.cell.set_view(view, now)
+        return []
+
+    def on_tick(self, now: core.Instant) -> core.Actions:
+        """Do everything that is due."""
+        self.cell.note_presence(now)
+        others = tuple(
+            shard
+            for shard in self.cell.cell_shards()
+            if shard not in self.tenures.current
+        )
+        actions = self.tenures.on_tick(now)
+        actions += self.claims.on_tick(others, now)
+        actions += self.departures.on_tick(now)
+        return actions + self.announce_changes(now)
+
+    def on_message(
+        self, sender: members.NodeId, message: object, now: core.Instant
+    ) -> core.Actions:
+        """Handle a message of the ownership protocol."""
+        self.cell.hear(sender, now)
+        match message:
+            case messages.PromiseRequest():
+                return self.on_promise_request(sender, message, now)
+            case messages.PromiseReply():
+                self.tenures.on_promise(message, sender, now)
+                return self.announce_changes(now)
+            case messages.OwnerAnnounce():
+                self.learn(message.row)
+            case messages.TakeOverRequest():
+                return self.claims.on_asked(message, sender)
+            case messages.HandOverAck():
+                self.departures.on_ack(message)
+        return []
+
+    def on_promise_request(
+        self,
+        sender: members.NodeId,
+        request: messages.PromiseRequest,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Grant or refuse a promise; tell a replaced owner the new row."""
+        known = self.cell.rows.get(request.shard)
+        owner = None
+        if known is not None and known.current.epoch == request.epoch:
+            owner = known.current.owner
+        reply = self.book.answer(
+            request,
+            sender=sender,
+            owner=owner,
+            is_writing=self.claims.is_writing(request.shard),
+            now=now,
+        )
+        address = self.address_of(sender, known)
+        if address is None:
+            return []
+        return [core.Send(to=sender, address=address, message=reply)]
+
+    def address_of(
+        self, node: members.NodeId, row: shards.ShardRow | None
+    ) -> members.Address | None:
+        """Return the address of a member, or of a process of ``row``."""
+        for member in self.cell.view:
+            if member.node == node:
+                return member.address
+        if row is None:
+            return None
+        earlier = (i for i in row.earlier if i.owner == node)
+        interval = next(earlier, None)
+        if interval is not None:
+            return interval.address
+        peers = (p for p in rows.names(row) if p.node == node)
+        peer = next(peers, None)
+        return None if peer is None else peer.address
+
+    def on_probe(
+        self, reply: core.ProbeReply, now: core.Instant
+    ) -> core.Actions:
+        """Read the rows of a process that does not answer."""
+        self.cell.on_probe(reply, now)
+        if not self.cell.is_gone(reply.to, now):
+            return []
+        return [
+            claims.read_row(shard)
+            for shard in self.cell.cell_shards()
+            if shard in self.cell.rows
+            and shard not in self.tenures.current
+            and self.claims.reason(self.cell.rows[shard], now) is not None
+        ]
+
+    def on_table_read(
+        self, reply: core.TableReadReply, now: core.Instant
+    ) -> core.Actions:
+        """Settle writes and claim shards by the rows just read."""
+        if reply.error is not None:
+            return []
+        found: dict[int, tuple[shards.ShardRow | None, int]] = {}
+        for table_row in reply.rows:
+            shard = int(table_row.key.rpartition("/")[2])
+            found[shard] = (decoded(table_row), table_row.version)
+        if reply.tag == "ownership:rows":
+            for shard in self.cell.cell_shards():
+                found.setdefault(shard, (None, 0))
+        actions: core.Actions = []
+        for shard, (row, version) in found.items():
+            is_release = reply.tag.startswith("ownership:release:")
+            if is_release and row is not None:
+                actions += self.release_row(row, version, now)
+            elif not is_release:
+                actions += self.on_row(shard, row, version, now)
+        return actions + self.announce_changes(now)
+
+    def on_row(
+        self,
+        shard: int,
+        row: shards.ShardRow | None,
+        version: int,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Handle one row that was read."""
+        if row is None and version > 0:
+            return []
+        if row is not None:
+            self.learn(row)
+        if shard in self.tenures.current:
+            return self.tenures.settle(shard, row, version, now)
+        if self.claims.is_writing(shard):
+            actions, is_own = self.claims.settle(row, version, shard)
+            if is_own and row is not None:
+                return actions + self.become_owner(row, version, now)
+            return actions
+        if shard not in self.cell.cell_shards():
+            return []
+        return self.claims.decide(shard, row, version, now)
+
+    def on_table_written(
+        self, reply: core.TableWriteReply, now: core.Instant
+    ) -> core.Actions:
+        """Handle the reply to a write of a row."""
+        shard = int(reply.key.rpartition("/")[2])
+        write_id = reply.tag.split(":", 3)[3]
+        if write_id in self.releases:
+            return self.on_released(reply, self.releases.pop(write_id))
+        claim = self.claims.writes.get(shard)
+        actions: core.Actions = []
+        if claim is not None and claim.row.write_id == write_id:
+            actions, row = self.claims.written(reply, shard)
+            if row is not None:
+                actions += self.become_owner(row, reply.version, now)
+        holding = self.tenures.current.get(shard)
+        pending = None if holding is None else holding.write
+        if pending is not None and pending.row.write_id == write_id:
+            actions = self.tenures.written(reply, shard, now)
+        return actions + self.announce_changes(now)
+
+    def on_released(
+        self, reply: core.TableWriteReply, shard: int
+    ) -> core.Actions:
+        """Log the outcome of a release."""
+        reason = f"shard {shard} is released"
+        if reply.error is not None:
+            reason = (
+                f"shard {shard}: release failed "
+                f"({reply.error.failure.value}); release it again"
+            )
+        return [core.LogDecision(kind="release", reason=reason)]
+
+    # Rows.
+
+    def learn(self, row: shards.ShardRow) -> None:
+        """Note a row that was read or announced."""
+        self.book.learn(row.shard, row.current.epoch)
+        self.cell.learn(row)
+        holding = self.tenures.current.get(row.shard)
+        if holding is not None:
+            if row.current.epoch > holding.row.current.epoch:
+                self.tenures.end(row.shard)
+        asked = self.claims.asked.get(row.shard)
+        if asked is not None and asked.epoch < row.current.epoch:
+            del self.claims.asked[row.shard]
+
+    def become_owner(
+        self, row: shards.ShardRow, version: int, now: core.Instant
+    ) -> core.Actions:
+        """Hold the interval of a row that this process wrote."""
+        self.learn(row)
+        self.claims.unowned_s.pop(row.shard, None)
+        return self.tenures.start(row, version, now)
+
+    def announce_changes(self, now: core.Instant) -> core.Actions:
+        """Announce rows that changed, and each row once a second."""
+        actions: core.Actions = []
+        for shard, holding in self.tenures.current.items():
+            shown = holding.shown_row()
+            last = self.announced.get(shard)
+            if last is None or last.is_due(shown, now):
+                self.announced[shard] = Announced(row=shown, at=now)
+                self.cell.learn(shown)
+                actions += self.announce(shown)
+        return actions
+
+    def announce(self, row: shards.ShardRow) -> core.Actions:
+        """Tell the cell and the known entries about ``row``."""
+        message = messages.OwnerAnnounce(row=row)
+        targets = dict(self.entries)
+        targets.update((m.node, m.address) for m in self.cell.view)
+        targets.pop(self.cell.member.node, None)
+        return [
+            core.Send(to=node, address=address, message=message)
+            for node, address in targets.items()
+        ]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Announced:
+    """The last announcement of a shard."""
+
+    row: shards.ShardRow
+    at: core.Instant
+
+    def is_due(self, row: shards.ShardRow, now: core.Instant) -> bool:
+        """Tell whether ``row`` must be announced now.
+
+        The ceiling rises every second anyway; a rise is announced at once
+        only when the announced ceiling has passed or an id far ahead
+        raised it.
+        """
+        if now.mono_s - self.at.mono_s >= ANNOUNCE_EVERY_S:
+            return True
+        if row.write_id != self.row.write_id:
+            return True
+        if row.closed != self.row.closed:
+            return True
+        rise_ms = row.current.ceiling_ms - self.row.current.ceiling_ms
+        was_behind = self.row.current.ceiling_ms <= now.wall_ms
+        return rise_ms > 0 and (was_behind or rise_ms > 2_000)
+
+
+def decoded(table_row: core.TableRow) -> shards.ShardRow | None:
+    """Return the row, or ``None`` when it does not exist."""
+    if table_row.version == 0:
+        return None
+    try:
+        return rows.decode(table_row.value)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/src/_jasminewind/decisions/tenures.py
@@ -0,0 +1,268 @@
+"""The owner's side of a shard: extension, refresh, new successors."""
+
+import dataclasses
+
+from _jasminewind import errors
+from _jasminewind import members
+from _jasminewind import shards
+from _jasminewind.decisions import claims
+from _jasminewind.decisions import core
+from _jasminewind.decisions import holdings
+from _jasminewind.decisions import neighbours
+from _jasminewind.decisions import rows
+from _jasminewind.messages import ownership as messages
+
+EXTEND_EVERY_S = 1.0
+REFRESH_S = 60.0
+# Without successors the ceiling in the row is the only limit, so the row
+# is written more often and further ahead.
+LONE_REFRESH_S = 5.0
+LONE_AHEAD_MS = 20 * 1000
+SUCCESSOR_SILENT_S = 2.5
+REPLACE_EVERY_S = 2.0
+# A refresh that certainly was not sent is tried again after this time.
+RETRY_WRITE_S = 2.0
+
+
+class Tenures:
+    """The holdings of this process, current and ended, by shard."""
+
+    def __init__(self, *, cell: neighbours.Neighbours) -> None:
+        self.cell = cell
+        self.current: dict[int, holdings.Holding] = {}
+        self.ended: dict[int, list[holdings.Holding]] = {}
+        self.extended_s: dict[int, float] = {}
+        self.granted_s: dict[tuple[int, members.NodeId], float] = {}
+
+    def held(self, shard: int) -> tuple[holdings.Holding, ...]:
+        """Return every interval of ``shard`` that this process holds."""
+        current = self.current.get(shard)
+        ended = tuple(self.ended.get(shard, ()))
+        return ended if current is None else (current, *ended)
+
+    def start(
+        self, row: shards.ShardRow, version: int, now: core.Instant
+    ) -> core.Actions:
+        """Become the owner of ``row``, which the table holds."""
+        epoch = row.current.epoch
+        if any(h.row.current.epoch >= epoch for h in self.held(row.shard)):
+            return []
+        self.end(row.shard)
+        holding = holdings.Holding(row=row, version=version)
+        holding.confirmed_s = now.mono_s
+        self.current[row.shard] = holding
+        return self.extend(row.shard, now)
+
+    def end(self, shard: int) -> None:
+        """Freeze the current holding; its ids are still served."""
+        holding = self.current.pop(shard, None)
+        if holding is not None:
+            holding.freeze()
+            holding.write = None
+            self.ended.setdefault(shard, []).append(holding)
+
+    def on_tick(self, now: core.Instant) -> core.Actions:
+        """Extend, refresh and repair every current holding."""
+        actions: core.Actions = []
+        for shard, holding in tuple(self.current.items()):
+            last_s = self.extended_s.get(shard)
+            if last_s is None or now.mono_s - last_s >= EXTEND_EVERY_S:
+                actions += self.extend(shard, now)
+            if holding.write is not None:
+                actions += self.retry(holding, now)
+            elif not holding.frozen:
+                actions += self.maintain(holding, now)
+        return actions
+
+    def extend(self, shard: int, now: core.Instant) -> core.Actions:
+        """Ask the successors to promise the normal ceiling."""
+        self.extended_s[shard] = now.mono_s
+        return self.ask(shard, now.wall_ms + holdings.NORMAL_AHEAD_MS, now)
+
+    def ask(
+        self, shard: int, ceiling_ms: int, now: core.Instant
+    ) -> core.Actions:
+        """Ask the successors to promise ``ceiling_ms``."""
+        holding = self.current[shard]
+        if holding.frozen:
+            return []
+        holding.aim(ceiling_ms, now)
+        holding.extend(now)
+        if holding.target_ms <= holding.floor_ms:
+            return []
+        request = messages.PromiseRequest(
+            shard=shard,
+            epoch=holding.row.current.epoch,
+            ceiling_ms=holding.target_ms,
+        )
+        for successor in holding.successors():
+            key = (shard, successor.node)
+            self.granted_s.setdefault(key, now.mono_s)
+        return [
+            core.Send(to=s.node, address=s.address, message=request)
+            for s in holding.successors()
+        ]
+
+    def on_promise(
+        self,
+        reply: messages.PromiseReply,
+        sender: members.NodeId,
+        now: core.Instant,
+    ) -> bool:
+        """Count a promise; return whether the ceiling rose."""
+        holding = self.current.get(reply.shard)
+        if holding is None:
+            return False
+        epoch = holding.row.current.epoch
+        if not reply.granted:
+            if reply.epoch > epoch:
+                self.end(reply.shard)
+            return False
+        if reply.epoch != epoch:
+            return False
+        self.granted_s[reply.shard, sender] = now.mono_s
+        before = holding.promised.get(sender, 0)
+        holding.promised[sender] = max(before, reply.ceiling_ms)
+        return holding.extend(now)
+
+    def maintain(
+        self, holding: holdings.Holding, now: core.Instant
+    ) -> core.Actions:
+        """Write the row when it is old or a successor has failed."""
+        age_s = now.mono_s - holding.confirmed_s
+        row = holding.row
+        lost = self.lost_successors(holding, now)
+        if age_s >= REPLACE_EVERY_S:
+            chosen = self.chosen(holding, lost)
+            if {s.node for s in chosen} != {s.node for s in row.successors}:
+                return self.write(holding, chosen, now)
+        refresh_s = REFRESH_S if row.successors else LONE_REFRESH_S
+        if age_s >= refresh_s or (not row.successors and age_s >= 1.0):
+            return self.write(holding, row.successors, now)
+        return []
+
+    def lost_successors(
+        self, holding: holdings.Holding, now: core.Instant
+    ) -> tuple[members.NodeId, ...]:
+        """Return the successors that are gone or do not promise."""
+        shard = holding.row.shard
+        return tuple(
+            s.node
+            for s in holding.row.successors
+            if not self.cell.is_live(s.node)
+            or now.mono_s - self.granted_s.get((shard, s.node), now.mono_s)
+            >= SUCCESSOR_SILENT_S
+        )
+
+    def chosen(
+        self, holding: holdings.Holding, lost: tuple[members.NodeId, ...]
+    ) -> tuple[shards.Successor, ...]:
+        """Return the successors that the row should name."""
+        keep = tuple(s.node for s in holding.row.successors)
+        full = len(keep) >= rows.SUCCESSORS and not lost
+        if full:
+            return holding.row.successors
+        return self.cell.successors(holding.row.shard, keep=keep, avoid=lost)
+
+    def write(
+        self,
+        holding: holdings.Holding,
+        successors: tuple[shards.Successor, ...],
+        now: core.Instant,
+        *,
+        closed: bool = False,
+    ) -> core.Actions:
+        """Write the row with the ceiling in use."""
+        ceiling_ms = holding.ceiling_to_write(now)
+        lone_ms = now.wall_ms + LONE_AHEAD_MS
+        if closed:
+            ceiling_ms = holding.ceiling_ms
+        elif not successors and ceiling_ms >= holding.floor_ms:
+            ceiling_ms = max(ceiling_ms, lone_ms)
+        current = dataclasses.replace(
+            holding.row.current, ceiling_ms=ceiling_ms
+        )
+        row = dataclasses.replace(
+            holding.row,
+            current=current,
+            successors=successors,
+            write_id=self.cell.write_id(),
+            closed=closed,
+        )
+        for successor in successors:
+            key = (row.shard, successor.node)
+            if successor not in holding.row.successors:
+                self.granted_s[key] = now.mono_s
+        holding.write = holdings.Write(
+            row=row, expected_version=holding.version, sent_s=now.mono_s
+        )
+        actions: core.Actions = [claims.write_row(holding.write)]
+        if successors != holding.row.successors or closed:
+            actions.append(self.log(row))
+        return actions
+
+    def log(self, row: shards.ShardRow) -> core.LogDecision:
+        """Return the log line for new successors or a closed row."""
+        verb = "close" if row.closed else "name successors"
+        return core.LogDecision(
+            kind="ownership",
+            choice=", ".join(str(s.node) for s in row.successors),
+            reason=f"shard {row.shard} epoch {row.current.epoch}: {verb}",
+        )
+
+    def retry(
+        self, holding: holdings.Holding, now: core.Instant
+    ) -> core.Actions:
+        """Read the row of a write whose outcome is still unknown."""
+        write = holding.write
+        if write is None or now.mono_s - write.sent_s < claims.RETRY_S:
+            return []
+        write.sent_s = now.mono_s
+        return [claims.read_row(holding.row.shard)]
+
+    def settle(
+        self,
+        shard: int,
+        row: shards.ShardRow | None,
+        version: int,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Compare a row read with what this process wrote."""
+        holding = self.current.get(shard)
+        if holding is None or row is None or version < holding.version:
+            return []
+        write = holding.write
+        if write is not None and version <= write.expected_version:
+            write.sends += 1
+            return [claims.write_row(write)]
+        if write is not None and row.write_id == write.row.write_id:
+            holding.confirm(row, version, now.mono_s)
+            return self.extend(shard, now)
+        if row.write_id != holding.row.write_id:
+            self.end(shard)
+        return []
+
+    def written(
+        self, reply: core.TableWriteReply, shard: int, now: core.Instant
+    ) -> core.Actions:
+        """Handle the reply to a write of a current holding."""
+        holding = self.current[shard]
+        write = holding.write
+        if write is None:
+            return []
+        if reply.error is None:
+            holding.confirm(write.row, reply.version, now.mono_s)
+            return self.extend(shard, now)
+        never_sent = (
+            reply.error.failure is errors.TableFailure.NOT_SENT
+            and write.sends == 1
+        )
+        if never_sent:
+            holding.write = None
+            holding.confirmed_s = max(
+                holding.confirmed_s, now.mono_s - REFRESH_S + RETRY_WRITE_S
+            )
+            return []
+        if reply.error.failure is errors.TableFailure.CONFLICT:
+            return [claims.read_row(shard)]
+        return []
--- a/src/_jasminewind/messages/ownership.py
+++ b/src/_jasminewind/messages/ownership.py
@@ -50,16 +50,22 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class HandOver:
-    """Finished records that the earlier owner leaves to the new one."""
+    """Finished records that the earlier owner leaves to the new one.
+
+    ``epoch`` is the epoch that ended. The next ``HandOver`` is sent when
+    the one with this ``sequence`` is acknowledged.
+    """
 
     shard: int
     epoch: int
     answers: tuple[work.Answer, ...]
+    sequence: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class HandOverAck:
-    """The new owner has stored the records of a ``HandOver``."""
+    """The new owner has stored the ``HandOver`` of this ``sequence``."""
 
     shard: int
     epoch: int
+    sequence: int = 0
