--- /dev/null
+++ b/src/_jasminewind/decisions/coordinator.py
@@ -0,0 +1,530 @@
+"""Coordinator of the shards that a process owns."""
+
+import collections.abc
+import dataclasses
+import random
+import typing
+
+from _jasminewind import configuration
+from _jasminewind import errors
+from _jasminewind import members
+from _jasminewind.decisions import admission
+from _jasminewind.decisions import core
+from _jasminewind.decisions import dispatcher
+from _jasminewind.decisions import ledger
+from _jasminewind.decisions import verdicts
+from _jasminewind.messages import configuration as config_messages
+from _jasminewind.messages import ownership as ownership_messages
+from _jasminewind.messages import tasks
+from _jasminewind.messages import work
+
+# A submission whose id is ahead of the interval, or whose configuration is
+# newer than ours, waits this long for either to catch up.
+PENDING_LIMIT_S = 2.0
+# Submissions that may wait for ownership or configuration at once.
+MAX_PENDING = 2_000
+EXPIRE_PERIOD_S = 10.0
+# Entries are not members of the cell; the node has a link to the sender of
+# every message and needs no address to answer on it.
+NO_ADDRESS = members.Address("", 0)
+
+
+class Ownership(typing.Protocol):
+    """What the coordinator needs of :mod:`ownership`."""
+
+    def judge(self, work_id: str, now: core.Instant) -> verdicts.Verdict:
+        """Return the relation of an id to the intervals held here."""
+
+    def wants(self, work_id: str, now: core.Instant) -> core.Actions:
+        """Extend the interval for an id that is ahead of it."""
+
+    def owned(self) -> tuple[int, ...]:
+        """Return the shards that this process owns."""
+
+
+class Freshness(typing.Protocol):
+    """Tells whether the configuration is confirmed to be in force."""
+
+    def is_fresh(self, now: core.Instant) -> bool:
+        """Tell whether an entry has confirmed the version lately."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CoordinatorStatus:
+    """Counts of submissions and tasks at one moment."""
+
+    submissions: int
+    pending: int
+    tasks_waiting: int
+    tasks_outstanding: int
+    records: int
+    retries_spent: int
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Pending:
+    """A submission that cannot be judged yet."""
+
+    submit: work.Submit
+    requesters: list[members.NodeId]
+    since_s: float
+    is_ahead: bool
+
+
+class Coordinator(core.Decision):
+    """Accepts submissions once, runs them, and gives one whole answer."""
+
+    def __init__(
+        self,
+        *,
+        member: members.Member,
+        ownership: Ownership,
+        rng: random.Random,
+        freshness: Freshness | None = None,
+    ) -> None:
+        self.member = member
+        self.ownership = ownership
+        self.freshness = freshness
+        self.config = configuration.NO_CONFIGURATION
+        self.ledger = ledger.Ledger()
+        self.admission = admission.Admission()
+        self.dispatcher = dispatcher.Dispatcher(rng=rng)
+        self.pending: dict[str, Pending] = {}
+        self.addresses: dict[members.NodeId, members.Address] = {}
+        self.next_expire_s = 0.0
+        self.handlers: dict[
+            type,
+            collections.abc.Callable[
+                [members.NodeId, typing.Any, core.Instant], core.Actions
+            ],
+        ] = {
+            work.Submit: self.on_submit,
+            work.Cancel: self.on_cancel,
+            work.QueryWork: self.on_query,
+            tasks.TasksRefused: self.on_refused,
+            tasks.TaskResults: self.on_results,
+            tasks.TaskStatuses: self.on_statuses,
+            tasks.LoadReport: self.on_load,
+            ownership_messages.HandOver: self.on_hand_over,
+        }
+
+    def handles(self) -> collections.abc.Iterable[type]:
+        """Return the message types that :meth:`on_message` takes."""
+        return self.handlers.keys()
+
+    def has_work(self) -> bool:
+        """Tell whether a submission is still without its answer."""
+        return bool(self.dispatcher.runs or self.pending)
+
+    def status(self) -> CoordinatorStatus:
+        """Return counts for metrics and operators."""
+        pools = self.dispatcher.pools.values()
+        return CoordinatorStatus(
+            submissions=len(self.dispatcher.runs),
+            pending=len(self.pending),
+            tasks_waiting=sum(pool.waiting() for pool in pools),
+            tasks_outstanding=len(self.dispatcher.attempts),
+            records=len(self.ledger.records),
+            retries_spent=self.dispatcher.budget.spent,
+        )
+
+    # Events
+
+    def on_message(
+        self, sender: members.NodeId, message: object, now: core.Instant
+    ) -> core.Actions:
+        """Handle one message of a type in :meth:`handles`."""
+        handler = self.handlers[type(message)]
+        actions = handler(sender, message, now)
+        return self.finish_round(actions, now)
+
+    def on_tick(self, now: core.Instant) -> core.Actions:
+        """Look at pending submissions and at everything that is due."""
+        actions = self.judge_pending(now)
+        self.dispatcher.on_tick(now)
+        if now.mono_s >= self.next_expire_s:
+            self.next_expire_s = now.mono_s + EXPIRE_PERIOD_S
+            self.ledger.expire(now, lambda each: self.accepts(each, now))
+        return self.finish_round(actions, now)
+
+    def on_config(
+        self, config: configuration.Configuration, now: core.Instant
+    ) -> core.Actions:
+        """Handle a configuration that is now in force."""
+        if config.version < self.config.version:
+            return []
+        self.config = config
+        self.admission.configure(config)
+        self.dispatcher.configure(config, now)
+        return self.finish_round(self.judge_pending(now), now)
+
+    def on_members(
+        self, view: tuple[members.Member, ...], now: core.Instant
+    ) -> core.Actions:
+        """Handle a changed view of the live members of the cell."""
+        self.addresses = {each.node: each.address for each in view}
+        self.dispatcher.set_members(view, now)
+        return self.finish_round([], now)
+
+    def on_link_lost(
+        self, peer: members.NodeId, now: core.Instant
+    ) -> core.Actions:
+        """Query the starts whose answers may be lost."""
+        self.dispatcher.on_link_lost(peer, now)
+        return self.finish_round([], now)
+
+    def on_send_failed(
+        self, peer: members.NodeId, message: object, now: core.Instant
+    ) -> core.Actions:
+        """Handle a message that certainly was not written to a link."""
+        del peer
+        if isinstance(message, tasks.StartTasks):
+            self.dispatcher.on_starts_not_sent(message, now)
+        elif isinstance(message, tasks.QueryTasks):
+            self.dispatcher.on_query_not_sent(message, now)
+        return self.finish_round([], now)
+
+    def finish_round(
+        self, actions: core.Actions, now: core.Instant
+    ) -> core.Actions:
+        """Send starts, stops and queries, and the answers that are ready."""
+        actions.extend(self.dispatcher.flush(now))
+        for run in self.dispatcher.take_ended():
+            self.admission.release(run)
+        for answer in self.dispatcher.take_answers():
+            actions.extend(self.give(answer, now))
+        return actions
+
+    def give(self, answer: work.Answer, now: core.Instant) -> core.Actions:
+        """Store an answer and send it to everyone who asked for it."""
+        requesters = self.ledger.finish(answer, now)
+        return [self.reply(each, answer) for each in requesters]
+
+    def reply(self, to: members.NodeId, message: object) -> core.Action:
+        """Return the action that sends ``message`` to a requester."""
+        address = self.addresses.get(to, NO_ADDRESS)
+        return core.Send(to=to, address=address, message=message)
+
+    # Submissions
+
+    def on_submit(
+        self, sender: members.NodeId, submit: work.Submit, now: core.Instant
+    ) -> core.Actions:
+        """Accept a submission, join it to its record, or redirect it."""
+        record = self.ledger.find(submit.work_id)
+        if record is not None:
+            if record.answer is not None:
+                return [self.reply(sender, record.answer)]
+            self.ledger.join(submit.work_id, sender)
+            return []
+        pending = self.pending.get(submit.work_id)
+        if pending is not None:
+            if sender not in pending.requesters:
+                pending.requesters.append(sender)
+            return []
+        return self.judge(submit, [sender], now)
+
+    def judge(
+        self,
+        submit: work.Submit,
+        requesters: list[members.NodeId],
+        now: core.Instant,
+    ) -> core.Actions:
+        """Act on what ownership says about a submission."""
+        verdict = self.ownership.judge(submit.work_id, now)
+        kind = verdict.kind
+        if kind == verdicts.VerdictKind.ACCEPT:
+            return self.accept(submit, requesters, now)
+        if kind == verdicts.VerdictKind.AHEAD:
+            actions = self.ownership.wants(submit.work_id, now)
+            return actions + self.wait(submit, requesters, now, is_ahead=True)
+        interval = verdict.interval
+        if interval is not None and interval.owner != self.member.node:
+            redirect = work.Redirect(
+                work_id=submit.work_id,
+                owner=interval.owner,
+                address=interval.address,
+            )
+            return [self.reply(each, redirect) for each in requesters]
+        if kind == verdicts.VerdictKind.EARLIER:
+            reason = (
+                "the id belongs to an earlier interval whose records are "
+                f"gone; {admission.NEW_ID_ADVICE} if that is safe"
+            )
+            return self.answer_unknown(submit.work_id, requesters, reason)
+        redirect = work.Redirect(
+            work_id=submit.work_id, owner=None, address=None
+        )
+        return [self.reply(each, redirect) for each in requesters]
+
+    def accept(
+        self,
+        submit: work.Submit,
+        requesters: list[members.NodeId],
+        now: core.Instant,
+    ) -> core.Actions:
+        """Admit or refuse a submission whose id belongs here."""
+        if submit.config_version > self.config.version:
+            fetch = config_messages.ConfigFetch(
+                have_version=self.config.version
+            )
+            actions = self.wait(submit, requesters, now, is_ahead=False)
+            return [self.reply(requesters[0], fetch), *actions]
+        self.ledger.open(submit.work_id, submit, requesters[0], now)
+        for each in requesters[1:]:
+            self.ledger.join(submit.work_id, each)
+        error = self.refuse_unready(submit, now)
+        if error is not None:
+            return self.refuse(submit.work_id, error, now)
+        run = self.dispatcher.prepare(submit, now)
+        owned = len(self.ownership.owned())
+        share = owned / max(self.config.shard_count, 1)
+        error = self.admission.refuse(
+            run,
+            quota_share=min(max(share, 0.0), 1.0) or 1.0,
+            queued=run.pool.waiting(),
+            now=now,
+        )
+        if error is not None:
+            return self.refuse(submit.work_id, error, now)
+        self.admission.admit(run)
+        self.dispatcher.enqueue(run, now)
+        return []
+
+    def refuse_unready(
+        self, submit: work.Submit, now: core.Instant
+    ) -> errors.WorkError | None:
+        """Return why no work at all can be taken now."""
+        if not submit.tasks:
+            return admission.never("the submission has no tasks")
+        if self.config.version == 0:
+            return unavailable("no configuration is known here yet")
+        if self.freshness is not None and not self.freshness.is_fresh(now):
+            return unavailable("no entry has confirmed the configuration")
+        return None
+
+    def refuse(
+        self, work_id: str, error: errors.WorkError, now: core.Instant
+    ) -> core.Actions:
+        """Answer a submission of which nothing was queued.
+
+        The refusal is stored as the answer of the id, so that a copy of
+        the submission that arrives later does not run either.
+        """
+        answer = work.Answer(
+            work_id=work_id, state=work.WorkState.FAILED, error=error
+        )
+        log = core.LogDecision(
+            kind="refusal",
+            work_id=work_id,
+            choice=str(error.code),
+            reason=error.reason,
+        )
+        return [log, *self.give(answer, now)]
+
+    def answer_unknown(
+        self,
+        work_id: str,
+        requesters: list[members.NodeId],
+        reason: str,
+    ) -> core.Actions:
+        """Answer that nothing is known here of what became of an id."""
+        error = errors.WorkError(
+            code=errors.Code.UNAVAILABLE,
+            outcome=errors.Outcome.MAY_HAVE_RUN,
+            reason=reason,
+        )
+        answer = work.Answer(
+            work_id=work_id, state=work.WorkState.FAILED, error=error
+        )
+        return [self.reply(each, answer) for each in requesters]
+
+    def wait(
+        self,
+        submit: work.Submit,
+        requesters: list[members.NodeId],
+        now: core.Instant,
+        *,
+        is_ahead: bool,
+    ) -> core.Actions:
+        """Keep a submission until it can be judged."""
+        if len(self.pending) >= MAX_PENDING:
+            reason = "too many submissions wait for their interval here"
+            return self.answer_unknown(submit.work_id, requesters, reason)
+        self.pending[submit.work_id] = Pending(
+            submit=submit,
+            requesters=requesters,
+            since_s=now.mono_s,
+            is_ahead=is_ahead,
+        )
+        return []
+
+    def judge_pending(self, now: core.Instant) -> core.Actions:
+        """Judge again what waited for its interval or configuration."""
+        actions: core.Actions = []
+        for work_id, pending in list(self.pending.items()):
+            if now.mono_s - pending.since_s >= PENDING_LIMIT_S:
+                del self.pending[work_id]
+                reason = "the owner could not extend its interval in time"
+                if not pending.is_ahead:
+                    reason = "the configuration could not be fetched in time"
+                actions.extend(
+                    self.answer_unknown(work_id, pending.requesters, reason)
+                )
+            elif self.can_judge(pending, now):
+                del self.pending[work_id]
+                submit = self.spend_wait(pending, now)
+                actions.extend(self.judge(submit, pending.requesters, now))
+        return actions
+
+    def can_judge(self, pending: Pending, now: core.Instant) -> bool:
+        """Tell whether a pending submission need not wait any more."""
+        if pending.submit.config_version > self.config.version:
+            return False
+        verdict = self.ownership.judge(pending.submit.work_id, now)
+        return verdict.kind != verdicts.VerdictKind.AHEAD
+
+    def spend_wait(self, pending: Pending, now: core.Instant) -> work.Submit:
+        """Return the submission with the time left after its wait."""
+        waited_s = now.mono_s - pending.since_s
+        left_s = max(pending.submit.budget_s - waited_s, 0.0)
+        return dataclasses.replace(pending.submit, budget_s=left_s)
+
+    def accepts(self, work_id: str, now: core.Instant) -> bool:
+        """Tell whether an id would be accepted now."""
+        verdict = self.ownership.judge(work_id, now)
+        return verdict.kind in (
+            verdicts.VerdictKind.ACCEPT,
+            verdicts.VerdictKind.AHEAD,
+        )
+
+    def on_cancel(
+        self, sender: members.NodeId, message: work.Cancel, now: core.Instant
+    ) -> core.Actions:
+        """Stop a submission; its requesters get the answer."""
+        del sender
+        pending = self.pending.pop(message.work_id, None)
+        if pending is None:
+            self.dispatcher.cancel(message.work_id, now)
+            return []
+        self.ledger.open(
+            message.work_id, pending.submit, pending.requesters[0], now
+        )
+        for each in pending.requesters[1:]:
+            self.ledger.join(message.work_id, each)
+        error = errors.WorkError(
+            code=errors.Code.CANCELED,
+            outcome=errors.Outcome.NOT_RUN,
+            reason="the caller cancelled it",
+        )
+        return self.refuse(message.work_id, error, now)
+
+    def on_query(
+        self,
+        sender: members.NodeId,
+        message: work.QueryWork,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Tell the state of a submission."""
+        del now
+        record = self.ledger.find(message.work_id)
+        run = self.dispatcher.runs.get(message.work_id)
+        state = work.WorkState.UNKNOWN
+        total = 0
+        done = 0
+        answer = None
+        if record is not None and record.answer is not None:
+            answer = record.answer
+            state = answer.state
+            total = done = len(answer.outputs)
+        elif run is not None:
+            total = len(run.tasks)
+            done = run.done
+            has_started = done > 0 or any(task.live for task in run.tasks)
+            state = work.WorkState.QUEUED
+            if has_started:
+                state = work.WorkState.RUNNING
+        elif message.work_id in self.pending:
+            state = work.WorkState.QUEUED
+            total = len(self.pending[message.work_id].submit.tasks)
+        status = work.WorkStatus(
+            work_id=message.work_id,
+            query_id=message.query_id,
+            state=state,
+            tasks_total=total,
+            tasks_done=done,
+            answer=answer,
+        )
+        return [self.reply(sender, status)]
+
+    # Keepers
+
+    def on_refused(
+        self,
+        sender: members.NodeId,
+        message: tasks.TasksRefused,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Handle starts that a keeper refused."""
+        self.dispatcher.on_refused(sender, message, now)
+        return []
+
+    def on_results(
+        self,
+        sender: members.NodeId,
+        message: tasks.TaskResults,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Store results; all are acknowledged, also unknown ones."""
+        self.dispatcher.on_results(message, now)
+        keys = tuple(each.key for each in message.results)
+        return [self.reply(sender, tasks.ResultsAck(keys=keys))]
+
+    def on_statuses(
+        self,
+        sender: members.NodeId,
+        message: tasks.TaskStatuses,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Handle what a keeper knows of starts whose answer was lost."""
+        keys = self.dispatcher.on_statuses(message, now)
+        if not keys:
+            return []
+        return [self.reply(sender, tasks.ResultsAck(keys=tuple(keys)))]
+
+    def on_load(
+        self,
+        sender: members.NodeId,
+        message: tasks.LoadReport,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Handle a keeper's load."""
+        del sender
+        self.dispatcher.on_load(message, now)
+        return []
+
+    # Hand-over
+
+    def on_hand_over(
+        self,
+        sender: members.NodeId,
+        message: ownership_messages.HandOver,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Store the finished records of an owner that leaves."""
+        for answer in message.answers:
+            if self.ledger.find(answer.work_id) is None:
+                self.ledger.finish(answer, now)
+        ack = ownership_messages.HandOverAck(
+            shard=message.shard, epoch=message.epoch
+        )
+        return [self.reply(sender, ack)]
+
+
+def unavailable(reason: str) -> errors.WorkError:
+    """Return the refusal of work while this process is not ready."""
+    return errors.WorkError(
+        code=errors.Code.UNAVAILABLE,
+        outcome=errors.Outcome.NOT_RUN,
+        reason=f"{reason}; {admission.NEW_ID_ADVICE} later",
+    )
--- /dev/null
+++ b/src/_jasminewind/decisions/dispatcher.py
@@ -0,0 +1,1000 @@
+"""Late binding of tasks to keepers, and what follows every start."""
+
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+from _jasminewind import configuration
+from _jasminewind import errors
+from _jasminewind import members
+from _jasminewind import resources
+from _jasminewind.decisions import core
+from _jasminewind.decisions import outliers
+from _jasminewind.decisions import placement
+from _jasminewind.decisions import pools
+from _jasminewind.decisions import retries
+from _jasminewind.decisions import routing
+from _jasminewind.decisions import runs
+from _jasminewind.decisions import runtimes
+from _jasminewind.messages import tasks
+from _jasminewind.messages import work
+
+# A result is due after the longer of these, in seconds and in multiples of
+# the learned p99 (or the expected run time while little is learned).
+MIN_DUE_S = 2.0
+DUE_FACTOR = 3.0
+# Time between queries for the same start, which doubles up to the limit.
+QUERY_RETRY_S = 1.0
+MAX_QUERY_RETRY_S = 8.0
+# A keeper that cannot tell what became of a start is asked this many times.
+MAX_UNKNOWN_REPLIES = 5
+# A keeper that left the view is taken for gone after this time without any
+# message from it. A replacement under its name proves it at once.
+ABSENT_GRACE_S = 5.0
+# Pause after a refusal; it doubles with each refusal in a row.
+REFUSAL_PAUSE_S = 0.02
+MAX_REFUSAL_PAUSE_S = 2.0
+# Keepers with room that are compared for one task.
+MAX_COMPARED = 16
+# Keepers that are looked at for one task, with or without room for it.
+MAX_EXAMINED = 48
+# Heads of a queue that are passed over in one round because they fit
+# nowhere now, so that smaller tasks behind them can start.
+MAX_PASSED_OVER = 4
+# A task that waited this long is not passed over any more.
+MAX_PASSED_OVER_S = 5.0
+# Names of candidates in one line of the decision log.
+MAX_LOGGED_CANDIDATES = 4
+
+# Failures that another attempt would meet again.
+FINAL_CODES = frozenset(
+    (
+        errors.Code.INVALID_ARGUMENT,
+        errors.Code.FAILED_PRECONDITION,
+        errors.Code.CANCELED,
+    )
+)
+# Failures that say nothing about the endpoint.
+BLAMELESS_CODES = frozenset(
+    (
+        errors.Code.INVALID_ARGUMENT,
+        errors.Code.FAILED_PRECONDITION,
+        errors.Code.CANCELED,
+        errors.Code.DEADLINE_EXCEEDED,
+    )
+)
+
+
+class Timer(typing.NamedTuple):
+    """A moment at which something must be looked at again."""
+
+    when_s: float
+    sequence: int
+    subject: runs.Attempt | runs.Run | pools.KeeperState
+
+
+class Dispatcher:
+    """Queues tasks, sends starts once, and follows every start to its end.
+
+    ``take_answers`` returns the answers of submissions that ended. Starts,
+    stops and queries are collected and leave in :meth:`flush`, one message
+    of each type per keeper.
+    """
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self.rng = rng
+        self.config = configuration.NO_CONFIGURATION
+        self.weights: dict[str, float] = {}
+        self.policy: routing.RoutingPolicy = routing.from_name(
+            self.config.policy.routing, rng=rng
+        )
+        self.budget = retries.RetryBudget(
+            per_success=self.config.policy.retry_budget
+        )
+        self.times = runtimes.RunTimes()
+        self.factors = placement.UseFactors()
+        self.keepers: dict[members.NodeId, pools.KeeperState] = {}
+        self.names: dict[str, pools.KeeperState] = {}
+        self.pools: dict[pools.PoolKey, pools.Pool] = {}
+        self.runs: dict[str, runs.Run] = {}
+        self.attempts: dict[tasks.TaskKey, runs.Attempt] = {}
+        self.timers: list[Timer] = []
+        self.sequence = itertools.count()
+        self.coordinators = 1
+        self.answers: list[work.Answer] = []
+        self.ended: list[runs.Run] = []
+        self.actions: core.Actions = []
+        self.starts: dict[pools.KeeperState, list[tasks.TaskStart]] = {}
+        self.stops: dict[pools.KeeperState, list[tasks.TaskKey]] = {}
+        self.queries: dict[pools.KeeperState, list[tasks.TaskKey]] = {}
+
+    # Configuration and members
+
+    def configure(
+        self, config: configuration.Configuration, now: core.Instant
+    ) -> None:
+        """Put a configuration in force."""
+        if config.policy.routing != self.config.policy.routing:
+            self.policy = routing.from_name(
+                config.policy.routing, rng=self.rng
+            )
+        self.config = config
+        self.weights = {team.name: team.weight for team in config.teams}
+        self.budget.per_success = config.policy.retry_budget
+        for keeper in self.keepers.values():
+            keeper.serving = self.is_serving(keeper.member)
+        for pool in self.pools.values():
+            pool.binds_early = self.policy.binds_early
+            for keeper in pool.keepers:
+                pool.refresh(keeper, now.mono_s)
+
+    def weight(self, team: str) -> float:
+        """Return the weight of a team, above 0."""
+        return max(self.weights.get(team, 1.0), 0.01)
+
+    def is_serving(self, member: members.Member) -> bool:
+        """Tell whether a member takes new work."""
+        endpoint = member.endpoint
+        if endpoint is None or member.state != members.State.SERVING:
+            return False
+        drained = self.config.drained
+        return endpoint.name not in drained and member.node.name not in drained
+
+    def set_members(
+        self, view: tuple[members.Member, ...], now: core.Instant
+    ) -> None:
+        """Take the view of the cell: add, update and miss keepers."""
+        self.coordinators = max(1, sum(1 for each in view if each.shards))
+        for pool in self.pools.values():
+            pool.coordinators = self.coordinators
+        seen = set()
+        for member in view:
+            if member.endpoint is not None:
+                self.update_keeper(member, member.endpoint, now)
+                seen.add(member.node)
+        for keeper in list(self.keepers.values()):
+            if keeper.node not in seen and keeper.present:
+                keeper.present = False
+                keeper.absent_since_s = now.mono_s
+                self.pool_of(keeper).refresh(keeper, now.mono_s)
+                self.arm(now.mono_s + ABSENT_GRACE_S, keeper)
+
+    def update_keeper(
+        self,
+        member: members.Member,
+        endpoint: members.Endpoint,
+        now: core.Instant,
+    ) -> None:
+        """Add a keeper or take its new record."""
+        earlier = self.names.get(member.node.name)
+        if earlier is not None:
+            newer = earlier.node.incarnation
+            if member.node.incarnation < newer:
+                return
+            if member.node.incarnation > newer:
+                self.lose_keeper(earlier, now, "it was replaced")
+            elif pool_key(earlier.endpoint) != pool_key(endpoint):
+                self.pool_of(earlier).drop_keeper(earlier)
+                earlier.endpoint = endpoint
+                self.pool(pool_key(endpoint)).add_keeper(earlier)
+        keeper = self.keepers.get(member.node)
+        if keeper is None:
+            keeper = pools.KeeperState(member, endpoint)
+            self.keepers[member.node] = keeper
+            self.names[member.node.name] = keeper
+            self.pool(pool_key(endpoint)).add_keeper(keeper)
+        keeper.member = member
+        keeper.endpoint = endpoint
+        keeper.address = member.address
+        keeper.present = True
+        keeper.suspect = member.suspect
+        keeper.serving = self.is_serving(member)
+        keeper.apply_load(member.load, now.mono_s, self.coordinators)
+        self.pool_of(keeper).refresh(keeper, now.mono_s)
+
+    def pool(self, key: pools.PoolKey) -> pools.Pool:
+        """Return the pool of a kind of endpoint."""
+        found = self.pools.get(key)
+        if found is None:
+            found = pools.Pool(key=key, rng=self.rng, weight=self.weight)
+            found.binds_early = self.policy.binds_early
+            found.coordinators = self.coordinators
+            self.pools[key] = found
+        return found
+
+    def pool_of(self, keeper: pools.KeeperState) -> pools.Pool:
+        """Return the pool that a keeper belongs to."""
+        return self.pool(pool_key(keeper.endpoint))
+
+    def pool_for(self, submit: work.Submit) -> pools.Pool:
+        """Return the pool that can run a submission."""
+        if submit.kind == work.WorkKind.JOB:
+            kind = members.EndpointKind.WORKER
+            return self.pool(pools.PoolKey(kind, ""))
+        service = submit.tasks[0].service
+        kind = members.EndpointKind.MINION
+        return self.pool(pools.PoolKey(kind, service))
+
+    def lose_keeper(
+        self, keeper: pools.KeeperState, now: core.Instant, why: str
+    ) -> None:
+        """Resolve the starts of a keeper incarnation that is gone."""
+        del self.keepers[keeper.node]
+        if self.names.get(keeper.node.name) is keeper:
+            del self.names[keeper.node.name]
+        self.pool_of(keeper).drop_keeper(keeper)
+        for waiting in (self.starts, self.stops, self.queries):
+            waiting.pop(keeper, None)
+        for attempt in list(keeper.outstanding.values()):
+            self.resolve(attempt, now)
+            attempt.task.maybe_run = True
+            error = errors.WorkError(
+                code=errors.Code.UNAVAILABLE,
+                outcome=errors.Outcome.MAY_HAVE_RUN,
+                reason=f"keeper {keeper.node.name} is gone: {why}",
+            )
+            self.retry_or_fail(attempt, error, now)
+
+    # Submissions
+
+    def prepare(self, submit: work.Submit, now: core.Instant) -> runs.Run:
+        """Return the run of a submission, not yet queued."""
+        pool = self.pool_for(submit)
+        run = runs.Run(submit, now.mono_s + submit.budget_s, pool)
+        largest = resources.NOTHING
+        is_job = submit.kind == work.WorkKind.JOB
+        if is_job and self.factors.cores:
+            largest = placement.largest_worker(pool)
+        long_s = self.config.policy.long_task_s
+        for index, task in enumerate(submit.tasks):
+            demand = resources.ONE_SLOT
+            if is_job:
+                demand = placement.worker_demand(task.demand)
+                demand = self.factors.corrected(
+                    (task.service, task.method), demand, largest
+                )
+            times = self.times.method(task.service, task.method)
+            entry = runs.TaskRun(run, index, task, times, demand)
+            entry.cost_s = self.times.expected_s(times, task.expected_s)
+            entry.is_long = entry.cost_s > long_s
+            run.tasks.append(entry)
+        return run
+
+    def enqueue(self, run: runs.Run, now: core.Instant) -> None:
+        """Queue every task of a run that was admitted."""
+        self.runs[run.submit.work_id] = run
+        for task in run.tasks:
+            self.push(task, now)
+        self.arm(self.next_check_s(run, now.mono_s), run)
+
+    def push(self, task: runs.TaskRun, now: core.Instant) -> None:
+        """Queue one task."""
+        pool = task.run.pool
+        team = task.run.team if self.config.policy.fair_share else ""
+        task.queue = pool.queue(
+            task.is_long and self.config.policy.separate_long_work
+        )
+        task.queue_team = team
+        task.queued_s = now.mono_s
+        task.queue.push(team, task)
+        pool.dirty = True
+
+    def unqueue(self, task: runs.TaskRun) -> None:
+        """Take one task out of its queue."""
+        if task.waiting and task.queue is not None:
+            task.queue.discard(task.queue_team, task)
+
+    def next_check_s(self, run: runs.Run, now_s: float) -> float:
+        """Return when waiting work of a run may have become too late."""
+        if not self.config.policy.shed_by_deadline:
+            return run.deadline_s
+        latest_s = run.deadline_s
+        for task in run.tasks:
+            if task.waiting:
+                need_s = runtimes.learned_s(task.times)
+                latest_s = min(latest_s, run.deadline_s - need_s)
+        return max(latest_s, now_s + 0.001)
+
+    def check_run(self, run: runs.Run, now: core.Instant) -> None:
+        """Fail a run that cannot end within its deadline any more."""
+        if run.answered:
+            return
+        now_s = now.mono_s
+        if now_s >= run.deadline_s:
+            outcome = run.outcome()
+            code = errors.Code.DEADLINE_EXCEEDED
+            if outcome == errors.Outcome.NOT_RUN:
+                code = errors.Code.RESOURCE_EXHAUSTED
+            reason = (
+                "the deadline passed before every task ended; "
+                "allow more time or submit less at once"
+            )
+            self.fail(run, code, reason, now)
+            return
+        if self.config.policy.shed_by_deadline:
+            for task in run.tasks:
+                need_s = runtimes.learned_s(task.times)
+                is_late = now_s + need_s >= run.deadline_s
+                if task.waiting and not task.live and is_late:
+                    reason = (
+                        f"task {task.task.name} waited until it could not "
+                        "end within the deadline; submit it again later"
+                    )
+                    code = errors.Code.RESOURCE_EXHAUSTED
+                    self.fail(run, code, reason, now)
+                    return
+        self.arm(self.next_check_s(run, now_s), run)
+
+    def cancel(self, work_id: str, now: core.Instant) -> None:
+        """Stop a run at the wish of its caller."""
+        run = self.runs.get(work_id)
+        if run is not None:
+            reason = "the caller cancelled it"
+            self.fail(run, errors.Code.CANCELED, reason, now)
+
+    def fail(
+        self,
+        run: runs.Run,
+        code: errors.Code,
+        reason: str,
+        now: core.Instant,
+    ) -> None:
+        """Answer a run as failed and stop what is left of it."""
+        error = errors.WorkError(
+            code=code, outcome=run.outcome(), reason=reason
+        )
+        answer = work.Answer(
+            work_id=run.submit.work_id,
+            state=work.WorkState.FAILED,
+            error=error,
+        )
+        self.end(run, answer)
+        for task in run.tasks:
+            self.unqueue(task)
+            for attempt in task.live:
+                self.stop(attempt, now)
+
+    def end(self, run: runs.Run, answer: work.Answer) -> None:
+        """Hand out the only answer of a run."""
+        run.answered = True
+        self.answers.append(answer)
+        self.ended.append(run)
+        del self.runs[run.submit.work_id]
+
+    def take_answers(self) -> list[work.Answer]:
+        """Return the answers since the last call."""
+        answers = self.answers
+        self.answers = []
+        return answers
+
+    def take_ended(self) -> list[runs.Run]:
+        """Return the runs that ended since the last call."""
+        ended = self.ended
+        self.ended = []
+        return ended
+
+    # Starts
+
+    def fill(self, pool: pools.Pool, now: core.Instant) -> None:
+        """Start what waits in a pool while keepers have room."""
+        pool.dirty = False
+        if not pool.open:
+            return
+        long_head = pool.long.head()
+        long_first = (
+            long_head is not None
+            and now.mono_s - long_head[1].queued_s
+            > self.config.policy.long_task_s
+        )
+        if long_first:
+            self.fill_from(pool, pool.long, now)
+        self.fill_from(pool, pool.short, now)
+        if not long_first:
+            self.fill_from(pool, pool.long, now)
+
+    def fill_from(
+        self, pool: pools.Pool, queue: typing.Any, now: core.Instant
+    ) -> None:
+        """Start tasks of one queue until it is empty or nothing fits."""
+        passed_over: list[runs.TaskRun] = []
+        while pool.open:
+            head = queue.head()
+            if head is None:
+                break
+            team, task = head
+            candidates = self.candidates(pool, task, now.mono_s)
+            if candidates:
+                queue.take(team, task)
+                keeper = self.policy.choose(candidates, task, now.mono_s)
+                self.start(task, keeper, candidates, now)
+                continue
+            # Requests all need one slot; only jobs differ in size.
+            waited_s = now.mono_s - task.queued_s
+            if (
+                not task.run.is_request
+                and len(passed_over) < MAX_PASSED_OVER
+                and waited_s < MAX_PASSED_OVER_S
+            ):
+                queue.take(team, task)
+                passed_over.append(task)
+                continue
+            break
+        for task in passed_over:
+            queued_s = task.queued_s
+            self.push(task, now)
+            task.queued_s = queued_s
+        if passed_over:
+            pool.dirty = False
+
+    def candidates(
+        self, pool: pools.Pool, task: runs.TaskRun, now_s: float
+    ) -> list[pools.KeeperState]:
+        """Return keepers that can take ``task`` now."""
+        del now_s
+        found: list[pools.KeeperState] = []
+        avoided: list[pools.KeeperState] = []
+        misfits: list[pools.KeeperState] = []
+        is_long = task.is_long and self.config.policy.separate_long_work
+        needs_spread = not task.run.is_request and task.run.placed > 0
+        examined = 0
+        for keeper in pool.open:
+            examined += 1
+            if not pool.binds_early and not (
+                keeper.fits(task.amounts, is_long) or keeper.may_probe()
+            ):
+                misfits.append(keeper)
+            elif task.avoid and keeper.node.name in task.avoid:
+                avoided.append(keeper)
+            else:
+                found.append(keeper)
+                if len(found) >= MAX_COMPARED and not pool.binds_early:
+                    if not needs_spread or spreads(found, task):
+                        break
+            if examined >= MAX_EXAMINED and not pool.binds_early:
+                break
+        for keeper in misfits:
+            # Those at the end are looked at first next time.
+            del pool.open[keeper]
+            pool.open[keeper] = None
+        return found or avoided
+
+    def start(
+        self,
+        task: runs.TaskRun,
+        keeper: pools.KeeperState,
+        candidates: list[pools.KeeperState],
+        now: core.Instant,
+    ) -> None:
+        """Send one start to one keeper, once."""
+        run = task.run
+        now_s = now.mono_s
+        key = tasks.TaskKey(run.submit.work_id, task.index, task.next_attempt)
+        task.next_attempt += 1
+        attempt = runs.Attempt(key, task, keeper, now_s)
+        task.live.append(attempt)
+        self.attempts[key] = attempt
+        keeper.add(attempt)
+        run.pool.outstanding += 1
+        if not run.is_request:
+            placement.record(keeper, run)
+        content = task.task
+        if content.demand is not task.demand and (
+            content.demand != task.demand
+        ):
+            content = dataclasses.replace(content, demand=task.demand)
+        self.starts.setdefault(keeper, []).append(
+            tasks.TaskStart(
+                key=key,
+                team=run.team,
+                task=content,
+                budget_s=max(run.deadline_s - now_s, 0.0),
+                is_long=task.is_long,
+            )
+        )
+        self.plan_checks(attempt, now_s)
+        run.pool.refresh(keeper, now_s)
+        self.log_start(attempt, candidates)
+
+    def log_start(
+        self, attempt: runs.Attempt, candidates: list[pools.KeeperState]
+    ) -> None:
+        """Log why a keeper was chosen."""
+        task = attempt.task
+        keeper = attempt.keeper
+        names = [each.node.name for each in candidates[:MAX_LOGGED_CANDIDATES]]
+        self.actions.append(
+            core.LogDecision(
+                kind="routing" if task.run.is_request else "placement",
+                work_id=attempt.key.work_id,
+                task=task.task.name,
+                team=task.run.team,
+                candidates=tuple(names),
+                choice=keeper.node.name,
+                reason=(
+                    f"{self.policy.name}: slowness {keeper.slowness:.2f}, "
+                    f"{len(keeper.outstanding)} own tasks there, "
+                    f"{len(candidates)} candidates"
+                ),
+            )
+        )
+
+    def plan_checks(self, attempt: runs.Attempt, now_s: float) -> None:
+        """Set when the result is due, and when to hedge."""
+        task = attempt.task
+        times = task.times
+        usual_s = task.cost_s
+        if times.samples >= runtimes.MIN_SAMPLES:
+            usual_s = max(usual_s, times.p99_s)
+            if task.task.repeatable and task.run.is_request:
+                attempt.hedge_s = now_s + retries.HEDGE_FACTOR * times.p99_s
+        attempt.due_s = now_s + max(MIN_DUE_S, DUE_FACTOR * usual_s)
+        self.arm_attempt(attempt, now_s)
+
+    def arm_attempt(self, attempt: runs.Attempt, now_s: float) -> None:
+        """Set the timer of an attempt to its next check."""
+        when_s = attempt.due_s
+        if attempt.hedge_s > 0.0:
+            when_s = min(when_s, attempt.hedge_s)
+        if not attempt.is_long:
+            long_s = attempt.sent_s + self.config.policy.long_task_s
+            when_s = min(when_s, long_s)
+        self.arm(max(when_s, now_s + 0.001), attempt)
+
+    def check_attempt(self, attempt: runs.Attempt, now: core.Instant) -> None:
+        """Reclassify, hedge or query an attempt that takes long."""
+        if self.attempts.get(attempt.key) is not attempt:
+            return
+        now_s = now.mono_s
+        policy = self.config.policy
+        if not attempt.is_long and (
+            now_s >= attempt.sent_s + policy.long_task_s
+        ):
+            self.reclassify(attempt)
+        if 0.0 < attempt.hedge_s <= now_s:
+            attempt.hedge_s = 0.0
+            self.hedge(attempt, now)
+        if attempt.due_s <= now_s:
+            self.query(attempt, now_s)
+        self.arm_attempt(attempt, now_s)
+
+    def reclassify(self, attempt: runs.Attempt) -> None:
+        """Treat running work as long from now on."""
+        attempt.is_long = True
+        task = attempt.task
+        if not task.waiting:
+            task.is_long = True
+        self.actions.append(
+            core.LogDecision(
+                kind="reclassify",
+                work_id=attempt.key.work_id,
+                task=task.task.name,
+                team=task.run.team,
+                choice="long",
+                reason=(
+                    f"has run past {self.config.policy.long_task_s} s, "
+                    f"{task.cost_s:.3f} s were expected"
+                ),
+            )
+        )
+
+    def hedge(self, attempt: runs.Attempt, now: core.Instant) -> None:
+        """Queue a second attempt of a repeatable request."""
+        task = attempt.task
+        if (
+            task.run.answered
+            or task.finished
+            or task.waiting
+            or attempt.stopping
+            or len(task.live) != 1
+            or task.next_attempt >= retries.MAX_ATTEMPTS
+            or not self.budget.spend()
+        ):
+            return
+        task.avoid = (*task.avoid, attempt.keeper.node.name)
+        self.push(task, now)
+
+    def query(self, attempt: runs.Attempt, now_s: float) -> None:
+        """Ask the keeper what became of a start."""
+        self.queries.setdefault(attempt.keeper, []).append(attempt.key)
+        wait_s = QUERY_RETRY_S * 2.0 ** min(attempt.queries, 3)
+        attempt.queries += 1
+        attempt.due_s = now_s + min(wait_s, MAX_QUERY_RETRY_S)
+
+    def stop(self, attempt: runs.Attempt, now: core.Instant) -> None:
+        """Ask the keeper to stop an attempt that is no longer needed."""
+        if attempt.stopping:
+            return
+        attempt.stopping = True
+        attempt.hedge_s = 0.0
+        self.stops.setdefault(attempt.keeper, []).append(attempt.key)
+
+    # What keepers say
+
+    def on_results(
+        self, message: tasks.TaskResults, now: core.Instant
+    ) -> None:
+        """Take results; each finds its own attempt or nothing."""
+        keeper = self.keepers.get(message.keeper)
+        for task_result in message.results:
+            attempt = self.attempts.get(task_result.key)
+            if attempt is not None and attempt.keeper is keeper:
+                self.settle(attempt, task_result, now)
+        if keeper is not None:
+            self.hear(keeper, message.load, now)
+
+    def on_refused(
+        self,
+        sender: members.NodeId,
+        message: tasks.TasksRefused,
+        now: core.Instant,
+    ) -> None:
+        """Place refused starts again; the keeper will never run them."""
+        keeper = self.keepers.get(sender)
+        if keeper is None:
+            return
+        found = False
+        for refusal in message.refusals:
+            attempt = self.attempts.get(refusal.key)
+            if attempt is None or attempt.keeper is not keeper:
+                continue
+            found = True
+            keeper.reflect_through(attempt)
+            self.resolve(attempt, now)
+            self.place_again(attempt.task, now)
+        if found:
+            self.pause(keeper, now.mono_s)
+        self.hear(keeper, message.load, now)
+
+    def on_statuses(
+        self, message: tasks.TaskStatuses, now: core.Instant
+    ) -> list[tasks.TaskKey]:
+        """Take the reply to a query; return the results to acknowledge."""
+        keeper = self.keepers.get(message.keeper)
+        stored: list[tasks.TaskKey] = []
+        for status in message.statuses:
+            if status.result is not None:
+                stored.append(status.key)
+            attempt = self.attempts.get(status.key)
+            if attempt is None or attempt.keeper is not keeper:
+                continue
+            self.take_status(attempt, status, now)
+        if keeper is not None:
+            keeper.absent_since_s = now.mono_s
+            self.pool_of(keeper).refresh(keeper, now.mono_s)
+        return stored
+
+    def take_status(
+        self,
+        attempt: runs.Attempt,
+        status: tasks.TaskStatus,
+        now: core.Instant,
+    ) -> None:
+        """Act on what a keeper knows of one attempt."""
+        standing = status.standing
+        if standing == tasks.TaskStanding.DONE and status.result is not None:
+            self.settle(attempt, status.result, now)
+            return
+        if standing == tasks.TaskStanding.NEVER_SEEN:
+            self.resolve(attempt, now)
+            self.place_again(attempt.task, now)
+            return
+        if standing in (
+            tasks.TaskStanding.RUNNING,
+            tasks.TaskStanding.QUEUED,
+        ):
+            attempt.keeper.reflect_through(attempt)
+            attempt.queries = 0
+            usual_s = max(attempt.task.cost_s, MIN_DUE_S)
+            attempt.due_s = now.mono_s + usual_s
+            if attempt.stopping:
+                self.stops.setdefault(attempt.keeper, []).append(attempt.key)
+            return
+        if attempt.queries >= MAX_UNKNOWN_REPLIES:
+            self.resolve(attempt, now)
+            attempt.task.maybe_run = True
+            error = errors.WorkError(
+                code=errors.Code.UNAVAILABLE,
+                outcome=errors.Outcome.MAY_HAVE_RUN,
+                reason=(
+                    f"keeper {attempt.keeper.node.name} cannot tell what "
+                    "became of the task"
+                ),
+            )
+            self.retry_or_fail(attempt, error, now)
+
+    def on_load(self, message: tasks.LoadReport, now: core.Instant) -> None:
+        """Take a keeper's load."""
+        keeper = self.keepers.get(message.keeper)
+        if keeper is not None:
+            self.hear(keeper, message.load, now)
+
+    def hear(
+        self,
+        keeper: pools.KeeperState,
+        load: members.Load,
+        now: core.Instant,
+    ) -> None:
+        """Take the load in a message of a keeper, which is thus alive."""
+        keeper.absent_since_s = now.mono_s
+        keeper.apply_load(load, now.mono_s, self.coordinators)
+        self.pool_of(keeper).refresh(keeper, now.mono_s)
+
+    def on_link_lost(self, peer: members.NodeId, now: core.Instant) -> None:
+        """Query every start whose answer may be lost with the link."""
+        keeper = self.keepers.get(peer)
+        if keeper is None:
+            return
+        for attempt in keeper.outstanding.values():
+            self.query(attempt, now.mono_s)
+            self.arm_attempt(attempt, now.mono_s)
+
+    def on_starts_not_sent(
+        self, message: tasks.StartTasks, now: core.Instant
+    ) -> None:
+        """Place starts again that were certainly not written."""
+        for start in message.starts:
+            attempt = self.attempts.get(start.key)
+            if attempt is None or attempt.keeper.node != message.keeper:
+                continue
+            self.resolve(attempt, now)
+            self.place_again(attempt.task, now)
+        keeper = self.keepers.get(message.keeper)
+        if keeper is not None:
+            self.pause(keeper, now.mono_s)
+            self.pool_of(keeper).refresh(keeper, now.mono_s)
+
+    def on_query_not_sent(
+        self, message: tasks.QueryTasks, now: core.Instant
+    ) -> None:
+        """Ask again later; the timer of each attempt is still set."""
+        for key in message.keys:
+            attempt = self.attempts.get(key)
+            if attempt is not None:
+                attempt.due_s = now.mono_s + QUERY_RETRY_S
+
+    def pause(self, keeper: pools.KeeperState, now_s: float) -> None:
+        """Send nothing to a keeper for a while after a refusal."""
+        pause_s = REFUSAL_PAUSE_S * 2.0 ** min(keeper.refusals, 8)
+        keeper.refusals += 1
+        keeper.refused_until_s = now_s + min(pause_s, MAX_REFUSAL_PAUSE_S)
+        self.arm(keeper.refused_until_s, keeper)
+
+    # Ends of attempts
+
+    def resolve(self, attempt: runs.Attempt, now: core.Instant) -> None:
+        """Forget an attempt whose fate is known."""
+        del self.attempts[attempt.key]
+        attempt.keeper.remove(attempt)
+        attempt.task.live.remove(attempt)
+        pool = attempt.task.run.pool
+        pool.outstanding -= 1
+        if attempt.keeper.node in self.keepers:
+            pool.refresh(attempt.keeper, now.mono_s)
+
+    def settle(
+        self,
+        attempt: runs.Attempt,
+        task_result: tasks.TaskResult,
+        now: core.Instant,
+    ) -> None:
+        """Take the end of an attempt."""
+        keeper = attempt.keeper
+        keeper.reflect_through(attempt)
+        self.resolve(attempt, now)
+        if task_result.used is not None:
+            self.learn_use(attempt.task, task_result.used)
+        if task_result.error is None:
+            self.succeed(attempt, task_result, now)
+            return
+        error = task_result.error
+        self.judge_failure(attempt, error, now)
+        task = attempt.task
+        if error.outcome == errors.Outcome.NOT_RUN:
+            self.pause(keeper, now.mono_s)
+            self.place_again(task, now)
+            return
+        if error.outcome == errors.Outcome.FAILED_WHILE_RUNNING:
+            task.run.has_run = True
+        else:
+            task.maybe_run = True
+        self.retry_or_fail(attempt, error, now)
+
+    def learn_use(self, task: runs.TaskRun, used: resources.Resources) -> None:
+        """Learn what a task of this method really uses."""
+        method = (task.task.service, task.task.method)
+        self.factors.observe(
+            method, placement.worker_demand(task.task.demand), used
+        )
+
+    def judge_failure(
+        self,
+        attempt: runs.Attempt,
+        error: errors.WorkError,
+        now: core.Instant,
+    ) -> None:
+        """Count a failure against its endpoint, unless it is blameless."""
+        if attempt.stopping or error.code in BLAMELESS_CODES:
+            return
+        keeper = attempt.keeper
+        pool = self.pool_of(keeper)
+        if not outliers.record_failure(pool, keeper, now.mono_s):
+            return
+        self.arm(keeper.ejected_until_s, keeper)
+        pool.refresh(keeper, now.mono_s)
+        period_s = keeper.ejected_until_s - now.mono_s
+        self.actions.append(
+            core.LogDecision(
+                kind="ejection",
+                work_id=attempt.key.work_id,
+                choice=keeper.node.name,
+                reason=(
+                    f"it fails more than its peers; no work for "
+                    f"{period_s:.0f} s"
+                ),
+            )
+        )
+
+    def succeed(
+        self,
+        attempt: runs.Attempt,
+        task_result: tasks.TaskResult,
+        now: core.Instant,
+    ) -> None:
+        """Store the output of a task and answer when all are there."""
+        task = attempt.task
+        run = task.run
+        keeper = attempt.keeper
+        keeper.refusals = 0
+        outliers.record_success(keeper)
+        self.budget.earn()
+        run_s = task_result.run_s
+        typical_s = runtimes.learned_s(task.times)
+        keeper.slowness = runtimes.blend_slowness(
+            keeper.slowness, run_s, typical_s
+        )
+        task.times.add(run_s, now.mono_s)
+        run.has_run = True
+        if run.answered or task.finished:
+            return
+        task.finished = True
+        self.unqueue(task)
+        for other in list(task.live):
+            self.stop(other, now)
+        run.outputs[task.index] = work.TaskOutput(
+            name=task.task.name,
+            payload=task_result.payload,
+            endpoint=keeper.endpoint.name,
+            run_s=run_s,
+        )
+        run.done += 1
+        if run.done < len(run.tasks):
+            return
+        outputs = tuple(each for each in run.outputs if each is not None)
+        self.end(
+            run,
+            work.Answer(
+                work_id=run.submit.work_id,
+                state=work.WorkState.COMPLETE,
+                outputs=outputs,
+            ),
+        )
+
+    def place_again(self, task: runs.TaskRun, now: core.Instant) -> None:
+        """Queue a task whose attempt is proved not to have run."""
+        if task.run.answered or task.finished:
+            return
+        if not task.waiting and not task.live:
+            self.push(task, now)
+
+    def retry_or_fail(
+        self,
+        attempt: runs.Attempt,
+        error: errors.WorkError,
+        now: core.Instant,
+    ) -> None:
+        """Retry a repeatable task within the budget, else fail its run."""
+        task = attempt.task
+        run = task.run
+        task.runs_used += 1
+        if run.answered or task.finished or attempt.stopping:
+            return
+        if task.live or task.waiting:
+            return
+        if (
+            task.task.repeatable
+            and error.code not in FINAL_CODES
+            and task.runs_used < retries.MAX_ATTEMPTS
+            and self.budget.spend()
+        ):
+            task.avoid = (*task.avoid, attempt.keeper.node.name)
+            self.push(task, now)
+            return
+        reason = f"task {task.task.name}: {error.reason}"
+        self.fail(run, error.code, reason, now)
+
+    # Time
+
+    def arm(
+        self,
+        when_s: float,
+        subject: runs.Attempt | runs.Run | pools.KeeperState,
+    ) -> None:
+        """Look at ``subject`` again at ``when_s``."""
+        timer = Timer(when_s, next(self.sequence), subject)
+        heapq.heappush(self.timers, timer)
+
+    def on_tick(self, now: core.Instant) -> None:
+        """Look at everything whose time has come."""
+        now_s = now.mono_s
+        while self.timers and self.timers[0].when_s <= now_s:
+            subject = heapq.heappop(self.timers).subject
+            if isinstance(subject, runs.Attempt):
+                self.check_attempt(subject, now)
+            elif isinstance(subject, runs.Run):
+                self.check_run(subject, now)
+            else:
+                self.check_keeper(subject, now)
+        for pool in self.pools.values():
+            pool.dirty = pool.dirty or pool.waiting() > 0
+
+    def check_keeper(
+        self, keeper: pools.KeeperState, now: core.Instant
+    ) -> None:
+        """Open a keeper after a pause, or give up an absent one."""
+        if self.keepers.get(keeper.node) is not keeper:
+            return
+        if not keeper.present:
+            gone_s = keeper.absent_since_s + ABSENT_GRACE_S
+            if now.mono_s >= gone_s:
+                self.lose_keeper(keeper, now, "it left the cell")
+                return
+            self.arm(gone_s, keeper)
+        self.pool_of(keeper).refresh(keeper, now.mono_s)
+
+    def flush(self, now: core.Instant) -> core.Actions:
+        """Start what can start and return everything to send."""
+        for pool in self.pools.values():
+            if pool.dirty:
+                self.fill(pool, now)
+        actions = self.actions
+        self.actions = []
+        for keeper, starts in self.starts.items():
+            if starts:
+                message = tasks.StartTasks(
+                    keeper=keeper.node,
+                    starts=tuple(starts),
+                    config_version=self.config.version,
+                )
+                actions.append(send(keeper, message))
+        for keeper, keys in self.stops.items():
+            actions.append(send(keeper, tasks.StopTasks(keys=tuple(keys))))
+        for keeper, keys in self.queries.items():
+            query = tasks.QueryTasks(keeper=keeper.node, keys=tuple(keys))
+            actions.append(send(keeper, query))
+        self.starts.clear()
+        self.stops.clear()
+        self.queries.clear()
+        return actions
+
+
+def pool_key(endpoint: members.Endpoint) -> pools.PoolKey:
+    """Return the pool that an endpoint belongs to."""
+    if endpoint.kind == members.EndpointKind.WORKER:
+        return pools.PoolKey(endpoint.kind, "")
+    return pools.PoolKey(endpoint.kind, endpoint.service)
+
+
+def send(keeper: pools.KeeperState, message: object) -> core.Send:
+    """Return the action that sends ``message`` to a keeper."""
+    return core.Send(to=keeper.node, address=keeper.address, message=message)
+
+
+def spreads(found: list[pools.KeeperState], task: runs.TaskRun) -> bool:
+    """Tell whether a candidate avoids a domain that holds the whole job."""
+    run = task.run
+    return any(
+        run.spread.get(each.member.failure_domain, 0) < run.placed
+        for each in found
+    )
--- /dev/null
+++ b/src/_jasminewind/decisions/fairness.py
@@ -0,0 +1,168 @@
+"""Queues that share capacity between teams."""
+
+import collections
+import collections.abc
+import heapq
+import itertools
+import typing
+
+# Deficit that a team of weight 1 earns per turn, in task seconds: about one
+# task of the class, so that turns stay short.
+SHORT_QUANTUM_S = 0.5
+LONG_QUANTUM_S = 10.0
+# A task is charged at most this many quanta, which bounds the turns that a
+# team has to wait after one wrong estimate.
+MAX_QUANTA = 8.0
+MIN_COST_S = 0.001
+
+
+class Queued(typing.Protocol):
+    """What a queue needs to know of its items."""
+
+    waiting: bool
+    cost_s: float
+    deadline_s: float
+
+
+Item = typing.TypeVar("Item", bound=Queued)
+
+
+class TeamQueue(typing.Generic[Item]):
+    """Tasks of one team, earliest deadline first.
+
+    An item whose ``waiting`` has become false is dropped when it reaches
+    the head, so that cancelling costs no search.
+    """
+
+    def __init__(self) -> None:
+        self.heap: list[tuple[float, int, Item]] = []
+        self.count = 0
+        self.cost_s = 0.0
+        self.deficit_s = 0.0
+        # Waiting task seconds by the second of their deadline.
+        self.by_second: dict[int, float] = {}
+
+    def account(self, deadline_s: float, cost_s: float) -> None:
+        """Add ``cost_s`` (negative to remove) of waiting work."""
+        self.count += 1 if cost_s > 0 else -1
+        self.cost_s += cost_s
+        second = int(deadline_s)
+        left_s = self.by_second.get(second, 0.0) + cost_s
+        if left_s > MIN_COST_S / 2:
+            self.by_second[second] = left_s
+        else:
+            self.by_second.pop(second, None)
+
+    def ahead_s(self, deadline_s: float) -> float:
+        """Return the waiting task seconds that are due no later."""
+        second = int(deadline_s)
+        return sum(
+            cost_s for due, cost_s in self.by_second.items() if due <= second
+        )
+
+    def head(self) -> Item | None:
+        """Return the next waiting item and drop those before it."""
+        while self.heap:
+            item = self.heap[0][2]
+            if item.waiting:
+                return item
+            heapq.heappop(self.heap)
+        return None
+
+
+class FairQueue(typing.Generic[Item]):
+    """Deficit round robin between teams by weight."""
+
+    def __init__(
+        self,
+        *,
+        weight: collections.abc.Callable[[str], float],
+        quantum_s: float = SHORT_QUANTUM_S,
+    ) -> None:
+        self.weight = weight
+        self.quantum_s = quantum_s
+        self.teams: dict[str, TeamQueue[Item]] = {}
+        self.turns: collections.deque[str] = collections.deque()
+        self.sequence = itertools.count()
+        self.count = 0
+        self.cost_s = 0.0
+
+    def __len__(self) -> int:
+        return self.count
+
+    def push(self, team: str, item: Item) -> None:
+        """Queue an item; its cost and deadline must not change now."""
+        item.waiting = True
+        item.cost_s = max(item.cost_s, MIN_COST_S)
+        queue = self.teams.get(team)
+        if queue is None:
+            queue = TeamQueue()
+            self.teams[team] = queue
+            self.turns.append(team)
+        entry = (item.deadline_s, next(self.sequence), item)
+        heapq.heappush(queue.heap, entry)
+        queue.account(item.deadline_s, item.cost_s)
+        self.count += 1
+        self.cost_s += item.cost_s
+
+    def discard(self, team: str, item: Item) -> None:
+        """Account for an item that no longer waits, wherever it stands."""
+        item.waiting = False
+        self.count -= 1
+        self.cost_s -= item.cost_s
+        self.teams[team].account(item.deadline_s, -item.cost_s)
+
+    def head(self) -> tuple[str, Item] | None:
+        """Return the next item and its team, without taking it."""
+        if self.count <= 0:
+            self.clear()
+            return None
+        while self.turns:
+            team = self.turns[0]
+            queue = self.teams[team]
+            item = queue.head()
+            if item is None:
+                self.turns.popleft()
+                del self.teams[team]
+                continue
+            if queue.deficit_s > 0.0 or len(self.turns) == 1:
+                return team, item
+            # The quantum is granted when a turn ends, so that one expensive
+            # item is paid for by the turns that the team then misses.
+            queue.deficit_s += self.quantum_s * self.weight(team)
+            self.turns.rotate(-1)
+        return None
+
+    def take(self, team: str, item: Item) -> None:
+        """Take the item that :meth:`head` returned."""
+        queue = self.teams[team]
+        heapq.heappop(queue.heap)
+        charge_s = min(item.cost_s, MAX_QUANTA * self.quantum_s)
+        queue.deficit_s -= charge_s
+        if len(self.turns) == 1:
+            # A team that was alone owes nothing to teams that come later.
+            queue.deficit_s = max(queue.deficit_s, -self.quantum_s)
+        self.discard(team, item)
+
+    def clear(self) -> None:
+        """Drop the remains of an empty queue."""
+        self.teams.clear()
+        self.turns.clear()
+        self.count = 0
+        self.cost_s = 0.0
+
+    def ahead_s(self, team: str, deadline_s: float) -> float:
+        """Return the task seconds served before a new item of ``team``.
+
+        Within the team only earlier deadlines count; the other teams take
+        their weighted share meanwhile, at most all that they have.
+        """
+        own = self.teams.get(team)
+        own_s = own.ahead_s(deadline_s) if own is not None else 0.0
+        weight = self.weight(team)
+        others_s = 0.0
+        for name, queue in self.teams.items():
+            if name != team and queue.count > 0:
+                share_s = (own_s + self.quantum_s) * self.weight(name) / weight
+                others_s += min(queue.cost_s, share_s)
+        return own_s + others_s
--- /dev/null
+++ b/src/_jasminewind/decisions/placement.py
@@ -0,0 +1,158 @@
+"""Packing of job tasks on workers."""
+
+import dataclasses
+
+from _jasminewind import resources
+from _jasminewind.decisions import pools
+from _jasminewind.decisions import runs
+
+MIN_FACTOR = 0.5
+MAX_FACTOR = 4.0
+# One report must not move the factor further than this share.
+MAX_STEP = 0.20
+DEFAULT_CORES = 1.0
+MAX_METHODS = 1_000
+# Added when a rack or a failure domain would hold every task of a job.
+ALL_IN_DOMAIN = 100.0
+ALL_IN_RACK = 10.0
+SPREAD_WEIGHT = 0.5
+PACK_WEIGHT = 0.2
+# Keeps accelerators free for the tasks that need them.
+WASTED_ACCELERATOR = 1.0
+
+
+class UseFactors:
+    """Learned ratio of used to declared resources, per method."""
+
+    def __init__(self) -> None:
+        self.cores: dict[tuple[str, str], float] = {}
+        self.memory: dict[tuple[str, str], float] = {}
+
+    def observe(
+        self,
+        method: tuple[str, str],
+        declared: resources.Resources,
+        used: resources.Resources,
+    ) -> None:
+        """Take one report of what a task used."""
+        if len(self.cores) >= MAX_METHODS and method not in self.cores:
+            return
+        if declared.cores > 0 and used.cores > 0:
+            ratio = used.cores / declared.cores
+            self.cores[method] = step(self.cores.get(method, 1.0), ratio)
+        if declared.memory_mb > 0 and used.memory_mb > 0:
+            ratio = used.memory_mb / declared.memory_mb
+            self.memory[method] = step(self.memory.get(method, 1.0), ratio)
+
+    def corrected(
+        self,
+        method: tuple[str, str],
+        declared: resources.Resources,
+        largest: resources.Resources,
+    ) -> resources.Resources:
+        """Return the size to pack with, at most the ``largest`` worker.
+
+        A correction upwards must not make a task impossible to place.
+        """
+        cores_factor = self.cores.get(method, 1.0)
+        memory_factor = self.memory.get(method, 1.0)
+        if cores_factor == 1.0 and memory_factor == 1.0:
+            return declared
+        cores = declared.cores * cores_factor
+        memory_mb = declared.memory_mb * memory_factor
+        return dataclasses.replace(
+            declared,
+            cores=min(cores, max(largest.cores, declared.cores)),
+            memory_mb=min(
+                memory_mb, max(largest.memory_mb, declared.memory_mb)
+            ),
+        )
+
+
+def step(factor: float, ratio: float) -> float:
+    """Return ``factor`` moved towards ``ratio`` by at most one step."""
+    low = factor * (1.0 - MAX_STEP)
+    high = factor * (1.0 + MAX_STEP)
+    moved = min(max(ratio, low), high)
+    return min(max(moved, MIN_FACTOR), MAX_FACTOR)
+
+
+def worker_demand(declared: resources.Resources) -> resources.Resources:
+    """Return what a task takes on a worker, which has no slots."""
+    if declared.slots == 0.0 and declared != resources.NOTHING:
+        return declared
+    demand = dataclasses.replace(declared, slots=0.0)
+    if demand == resources.NOTHING:
+        return resources.Resources(cores=DEFAULT_CORES)
+    return demand
+
+
+def smaller(
+    one: resources.Resources, other: resources.Resources
+) -> resources.Resources:
+    """Return the smaller amount of each resource."""
+    return resources.Resources(
+        slots=min(one.slots, other.slots),
+        cores=min(one.cores, other.cores),
+        memory_mb=min(one.memory_mb, other.memory_mb),
+        accelerators=min(one.accelerators, other.accelerators),
+    )
+
+
+def is_possible(demand: resources.Resources, pool: pools.Pool) -> bool:
+    """Tell whether any known worker could ever hold ``demand``.
+
+    Without any worker nothing is known, and the task may wait for one.
+    """
+    if not pool.keepers:
+        return True
+    return any(demand.fits(each.endpoint.capacity) for each in pool.keepers)
+
+
+def largest_worker(pool: pools.Pool) -> resources.Resources:
+    """Return the largest amount of each resource on any worker."""
+    capacities = [each.endpoint.capacity for each in pool.keepers]
+    if not capacities:
+        return resources.NOTHING
+    return resources.Resources(
+        cores=max(each.cores for each in capacities),
+        memory_mb=max(each.memory_mb for each in capacities),
+        accelerators=max(each.accelerators for each in capacities),
+    )
+
+
+def penalty(keeper: pools.KeeperState, task: runs.TaskRun) -> float:
+    """Return how badly a worker suits a task; lower is better."""
+    run = task.run
+    member = keeper.member
+    placed = run.placed
+    value = 0.0
+    if placed:
+        in_domain = run.spread.get(member.failure_domain, 0)
+        in_rack = run.spread.get(rack_key(keeper), 0)
+        if in_domain == placed:
+            value += ALL_IN_DOMAIN
+        if in_rack == placed:
+            value += ALL_IN_RACK
+        value += SPREAD_WEIGHT * (in_domain + in_rack) / placed
+    capacity = keeper.endpoint.capacity
+    if capacity.cores > 0:
+        left = keeper.free[1] - keeper.pending[1] - task.amounts[1]
+        value += PACK_WEIGHT * left / capacity.cores
+    if capacity.accelerators > 0 and task.amounts[3] == 0.0:
+        value += WASTED_ACCELERATOR
+    return value
+
+
+def record(keeper: pools.KeeperState, run: runs.Run) -> None:
+    """Count one task of a job on a worker."""
+    domain = keeper.member.failure_domain
+    rack = rack_key(keeper)
+    run.placed += 1
+    run.spread[domain] = run.spread.get(domain, 0) + 1
+    run.spread[rack] = run.spread.get(rack, 0) + 1
+
+
+def rack_key(keeper: pools.KeeperState) -> str:
+    """Return a name of the rack that no failure domain has."""
+    return f"{keeper.member.failure_domain}/{keeper.member.rack}"
--- /dev/null
+++ b/src/_jasminewind/decisions/pools.py
@@ -0,0 +1,283 @@
+"""Keepers as a coordinator knows them, in pools that serve one kind."""
+
+import random
+import typing
+
+from _jasminewind import members
+from _jasminewind import resources
+from _jasminewind.decisions import fairness
+from _jasminewind.decisions import runs
+from _jasminewind.messages import tasks
+
+# A start that was sent this long ago is taken to be part of every load that
+# arrives, even when nothing has been heard of it.
+REFLECTED_AFTER_S = 0.25
+# Connections that a baseline policy may use on a worker, which names none.
+DEFAULT_CONNECTIONS = 64
+# A report older than this may hide what other coordinators have sent since.
+FRESH_REPORT_S = 0.1
+
+
+class KeeperState:
+    """One keeper: its latest load and the work that was sent to it."""
+
+    __slots__ = (
+        "node",
+        "address",
+        "member",
+        "endpoint",
+        "load",
+        "load_s",
+        "free",
+        "free_long",
+        "pending",
+        "outstanding",
+        "unreflected",
+        "sent_count",
+        "present",
+        "serving",
+        "suspect",
+        "absent_since_s",
+        "refused_until_s",
+        "refusals",
+        "ejected_until_s",
+        "ejections",
+        "failure_rate",
+        "results",
+        "slowness",
+        "connections",
+        "is_minion",
+        "burst_left",
+    )
+
+    def __init__(self, member: members.Member, endpoint: members.Endpoint):
+        self.node = member.node
+        self.address = member.address
+        self.member = member
+        self.endpoint = endpoint
+        self.load = members.Load()
+        self.load_s = float("-inf")
+        self.free: tuple[float, ...] = (0.0, 0.0, 0.0, 0.0)
+        self.free_long: tuple[float, ...] = (0.0, 0.0, 0.0, 0.0)
+        # Demand of starts that the latest load does not include yet.
+        self.pending = [0.0, 0.0, 0.0, 0.0]
+        self.outstanding: dict[tasks.TaskKey, runs.Attempt] = {}
+        self.unreflected: dict[int, runs.Attempt] = {}
+        self.sent_count = 0
+        self.present = True
+        self.serving = True
+        self.suspect = False
+        self.absent_since_s = 0.0
+        self.refused_until_s = 0.0
+        self.refusals = 0
+        self.ejected_until_s = 0.0
+        self.ejections = 0
+        self.failure_rate = 0.0
+        self.results = 0
+        self.slowness = 1.0
+        self.connections = endpoint.connections or DEFAULT_CONNECTIONS
+        self.is_minion = endpoint.kind == members.EndpointKind.MINION
+        self.burst_left = 0
+
+    def accepts(self, now_s: float) -> bool:
+        """Tell whether new work may be sent at all."""
+        return (
+            self.present
+            and self.serving
+            and not self.suspect
+            and self.refused_until_s <= now_s
+            and self.ejected_until_s <= now_s
+        )
+
+    def apply_load(self, load: members.Load, now_s: float, share: int) -> None:
+        """Take a report unless a newer one was taken before.
+
+        ``share`` is the number of coordinators that may send work here.
+        """
+        if load.sequence <= self.load.sequence and self.load_s > 0:
+            return
+        self.load = load
+        self.load_s = now_s
+        free = load.free
+        free_long = load.free_long
+        if load.sequence == 0:
+            free = self.endpoint.capacity
+            free_long = free
+        self.free = as_amounts(free)
+        self.free_long = as_amounts(free_long)
+        self.burst_left = max(1, int(free.slots) // share)
+        for attempt in list(self.unreflected.values()):
+            if attempt.sent_s + REFLECTED_AFTER_S > now_s:
+                break
+            self.reflect(attempt)
+
+    def add(self, attempt: runs.Attempt) -> None:
+        """Count a start that is sent now."""
+        self.sent_count += 1
+        attempt.order = self.sent_count
+        self.outstanding[attempt.key] = attempt
+        self.unreflected[attempt.order] = attempt
+        self.burst_left -= 1
+        pending = self.pending
+        demand = attempt.task.amounts
+        pending[0] += demand[0]
+        pending[1] += demand[1]
+        pending[2] += demand[2]
+        pending[3] += demand[3]
+
+    def reflect(self, attempt: runs.Attempt) -> None:
+        """Stop counting a start beside the load, which now includes it."""
+        if attempt.reflected:
+            return
+        attempt.reflected = True
+        del self.unreflected[attempt.order]
+        pending = self.pending
+        if not self.unreflected:
+            pending[:] = (0.0, 0.0, 0.0, 0.0)
+            return
+        demand = attempt.task.amounts
+        pending[0] -= demand[0]
+        pending[1] -= demand[1]
+        pending[2] -= demand[2]
+        pending[3] -= demand[3]
+
+    def reflect_through(self, attempt: runs.Attempt) -> None:
+        """The keeper has this start, hence all that were sent before."""
+        order = attempt.order
+        while self.unreflected:
+            first = next(iter(self.unreflected))
+            if first > order:
+                return
+            self.reflect(self.unreflected[first])
+
+    def remove(self, attempt: runs.Attempt) -> None:
+        """Forget a start that is resolved."""
+        del self.outstanding[attempt.key]
+        self.reflect(attempt)
+
+    def fits(self, demand: tuple[float, ...], is_long: bool) -> bool:
+        """Tell whether the keeper has room for ``demand`` now."""
+        free = self.free_long if is_long else self.free
+        pending = self.pending
+        if self.is_minion:
+            return demand[0] <= free[0] - pending[0]
+        return (
+            demand[1] <= free[1] - pending[1]
+            and demand[2] <= free[2] - pending[2]
+            and demand[3] <= free[3] - pending[3]
+        )
+
+    def has_room(self, now_s: float) -> bool:
+        """Tell whether the smallest task might fit."""
+        free = self.free
+        if not self.is_minion:
+            return free[1] - self.pending[1] > 0.0
+        if free[0] - self.pending[0] < 1.0:
+            return False
+        is_old = now_s - self.load_s > FRESH_REPORT_S
+        return self.burst_left > 0 or not is_old
+
+    def may_probe(self) -> bool:
+        """Tell whether one start may use the keeper's queue.
+
+        It lets a coordinator in whose peers hold every slot.
+        """
+        return (
+            self.is_minion and not self.outstanding and self.load.queued == 0
+        )
+
+
+def as_amounts(vector: resources.Resources) -> tuple[float, ...]:
+    """Return the amounts in the order of ``resources.FIELDS``."""
+    return (
+        vector.slots,
+        vector.cores,
+        vector.memory_mb,
+        vector.accelerators,
+    )
+
+
+class PoolKey(typing.NamedTuple):
+    """Kind of endpoint and, for minions, the service."""
+
+    kind: members.EndpointKind
+    service: str
+
+
+class Pool:
+    """Keepers that can run the same work, and the work that waits."""
+
+    def __init__(
+        self,
+        *,
+        key: PoolKey,
+        rng: random.Random,
+        weight: typing.Callable[[str], float],
+    ) -> None:
+        self.key = key
+        self.rng = rng
+        self.keepers: list[KeeperState] = []
+        # Keepers with room. The order rotates, which spreads the choice
+        # when only a part of them is looked at.
+        self.open: dict[KeeperState, None] = {}
+        self.binds_early = False
+        self.dirty = False
+        self.outstanding = 0
+        self.coordinators = 1
+        self.short: fairness.FairQueue[runs.TaskRun] = fairness.FairQueue(
+            weight=weight
+        )
+        self.long: fairness.FairQueue[runs.TaskRun] = fairness.FairQueue(
+            weight=weight, quantum_s=fairness.LONG_QUANTUM_S
+        )
+
+    def queue(self, is_long: bool) -> fairness.FairQueue[runs.TaskRun]:
+        """Return the queue of a class."""
+        return self.long if is_long else self.short
+
+    def waiting(self) -> int:
+        """Return the number of tasks that wait."""
+        return len(self.short) + len(self.long)
+
+    def refresh(self, keeper: KeeperState, now_s: float) -> None:
+        """Update whether ``keeper`` is open after it changed."""
+        self.open.pop(keeper, None)
+        if not keeper.accepts(now_s):
+            return
+        if self.binds_early:
+            is_open = len(keeper.outstanding) < keeper.connections
+        else:
+            is_open = keeper.has_room(now_s) or keeper.may_probe()
+        if is_open:
+            self.open[keeper] = None
+            self.dirty = True
+
+    def add_keeper(self, keeper: KeeperState) -> None:
+        """Add a keeper at a random place, which mixes failure domains."""
+        place = self.rng.randrange(len(self.keepers) + 1)
+        self.keepers.insert(place, keeper)
+
+    def drop_keeper(self, keeper: KeeperState) -> None:
+        """Remove a keeper that is gone."""
+        self.keepers.remove(keeper)
+        self.open.pop(keeper, None)
+
+    def own_capacity(self) -> float:
+        """Return about how many tasks can run here for this coordinator.
+
+        Workers give no figure, because the size of their tasks varies.
+        """
+        if self.key.kind == members.EndpointKind.WORKER:
+            return 0.0
+        slots = sum(
+            each.endpoint.capacity.slots
+            for each in self.keepers
+            if each.present and each.serving and not each.suspect
+        )
+        return slots / self.coordinators
+
+    def suspects(self) -> int:
+        """Return how many keepers are suspect or absent."""
+        return sum(
+            1 for each in self.keepers if each.suspect or not each.present
+        )
--- /dev/null
+++ b/src/_jasminewind/decisions/routing.py
@@ -0,0 +1,158 @@
+"""Policies that choose the keeper of a task."""
+
+import abc
+import collections.abc
+import random
+
+from _jasminewind.decisions import placement
+from _jasminewind.decisions import pools
+from _jasminewind.decisions import runs
+
+# Weight of an endpoint's failure rate against its speed. A failing endpoint
+# frees its slots early and would otherwise get more work than its peers.
+FAILURE_WEIGHT = 8.0
+# Expected slowdown when every slot of an endpoint is busy.
+BUSY_WEIGHT = 0.25
+# Slowdown per second of age of the latest report, up to the limit: other
+# coordinators may have sent work since.
+AGE_WEIGHT_PER_S = 0.1
+MAX_AGE_S = 5.0
+
+
+class RoutingPolicy(abc.ABC):
+    """Chooses a keeper for one task.
+
+    A policy that binds early gets every keeper below its connection limit
+    and does not look at free capacity; the others get keepers with room.
+    """
+
+    name: str
+    binds_early = True
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self.rng = rng
+
+    @abc.abstractmethod
+    def choose(
+        self,
+        candidates: collections.abc.Sequence[pools.KeeperState],
+        task: runs.TaskRun,
+        now_s: float,
+    ) -> pools.KeeperState:
+        """Return one of the candidates, of which there is at least one."""
+
+
+class ExpectedCompletion(RoutingPolicy):
+    """Chooses the keeper where the task should complete first."""
+
+    name = "expected_completion"
+    binds_early = False
+
+    def choose(
+        self,
+        candidates: collections.abc.Sequence[pools.KeeperState],
+        task: runs.TaskRun,
+        now_s: float,
+    ) -> pools.KeeperState:
+        """Return the candidate with the lowest expected completion."""
+        best = candidates[0]
+        best_score = float("inf")
+        for keeper in candidates:
+            score = expected_completion(keeper, now_s)
+            if not keeper.is_minion:
+                score += placement.penalty(keeper, task)
+            if score < best_score:
+                best = keeper
+                best_score = score
+        return best
+
+
+def expected_completion(keeper: pools.KeeperState, now_s: float) -> float:
+    """Return the expected run time there, 1 for a typical idle endpoint."""
+    if keeper.is_minion:
+        capacity = keeper.endpoint.capacity.slots
+        free = keeper.free[0] - keeper.pending[0]
+    else:
+        capacity = keeper.endpoint.capacity.cores
+        free = keeper.free[1] - keeper.pending[1]
+    busy = 1.0 - free / capacity if capacity > 0 else 1.0
+    age_s = min(now_s - keeper.load_s, MAX_AGE_S)
+    return keeper.slowness * (
+        1.0
+        + BUSY_WEIGHT * busy
+        + AGE_WEIGHT_PER_S * age_s
+        + FAILURE_WEIGHT * keeper.failure_rate
+    )
+
+
+class Random(RoutingPolicy):
+    """Baseline: any endpoint with the same chance."""
+
+    name = "random"
+
+    def choose(
+        self,
+        candidates: collections.abc.Sequence[pools.KeeperState],
+        task: runs.TaskRun,
+        now_s: float,
+    ) -> pools.KeeperState:
+        """Return a random candidate."""
+        del task, now_s
+        return candidates[self.rng.randrange(len(candidates))]
+
+
+class RoundRobin(RoutingPolicy):
+    """Baseline: endpoints in the order of their names, in turn."""
+
+    name = "round_robin"
+
+    def __init__(self, *, rng: random.Random) -> None:
+        super().__init__(rng=rng)
+        self.last: dict[pools.PoolKey, str] = {}
+
+    def choose(
+        self,
+        candidates: collections.abc.Sequence[pools.KeeperState],
+        task: runs.TaskRun,
+        now_s: float,
+    ) -> pools.KeeperState:
+        """Return the candidate that follows the one chosen before."""
+        del now_s
+        key = task.run.pool.key
+        last = self.last.get(key, "")
+        first = min(candidates, key=lambda each: each.node.name)
+        later = [each for each in candidates if each.node.name > last]
+        chosen = min(later, key=lambda each: each.node.name, default=first)
+        self.last[key] = chosen.node.name
+        return chosen
+
+
+class LeastOutstanding(RoutingPolicy):
+    """Baseline: the endpoint with the fewest own tasks outstanding."""
+
+    name = "least_outstanding"
+
+    def choose(
+        self,
+        candidates: collections.abc.Sequence[pools.KeeperState],
+        task: runs.TaskRun,
+        now_s: float,
+    ) -> pools.KeeperState:
+        """Return the least used candidate, a random one of equals."""
+        del task, now_s
+        fewest = min(len(each.outstanding) for each in candidates)
+        equals = [
+            each for each in candidates if len(each.outstanding) == fewest
+        ]
+        return equals[self.rng.randrange(len(equals))]
+
+
+POLICIES: dict[str, type[RoutingPolicy]] = {
+    policy.name: policy
+    for policy in (ExpectedCompletion, Random, RoundRobin, LeastOutstanding)
+}
+
+
+def from_name(name: str, *, rng: random.Random) -> RoutingPolicy:
+    """Return the policy called ``name``, the default one if unknown."""
+    return POLICIES.get(name, ExpectedCompletion)(rng=rng)
--- /dev/null
+++ b/src/_jasminewind/decisions/runs.py
@@ -0,0 +1,165 @@
+"""Submissions, tasks and attempts while a coordinator runs them."""
+
+import typing
+
+from _jasminewind import errors
+from _jasminewind import resources
+from _jasminewind.messages import tasks
+from _jasminewind.messages import work
+
+if typing.TYPE_CHECKING:
+    from _jasminewind.decisions import fairness
+    from _jasminewind.decisions import pools
+    from _jasminewind.decisions import runtimes
+
+
+class Run:
+    """A submission that has been accepted and is not yet answered."""
+
+    __slots__ = (
+        "submit",
+        "team",
+        "deadline_s",
+        "tasks",
+        "outputs",
+        "done",
+        "has_run",
+        "answered",
+        "is_request",
+        "pool",
+        "spread",
+        "placed",
+    )
+
+    def __init__(
+        self, submit: work.Submit, deadline_s: float, pool: "pools.Pool"
+    ) -> None:
+        self.submit = submit
+        self.team = submit.team
+        self.deadline_s = deadline_s
+        self.pool = pool
+        self.tasks: list[TaskRun] = []
+        count = len(submit.tasks)
+        self.outputs: list[work.TaskOutput | None] = [None] * count
+        self.done = 0
+        self.has_run = False
+        self.answered = False
+        self.is_request = submit.kind == work.WorkKind.REQUEST
+        # Starts per failure domain and per rack, and in all.
+        self.spread: dict[str, int] = {}
+        self.placed = 0
+
+    def outcome(self) -> errors.Outcome:
+        """Return what is known about a submission that failed."""
+        if self.has_run:
+            return errors.Outcome.FAILED_WHILE_RUNNING
+        if any(task.live for task in self.tasks):
+            return errors.Outcome.MAY_HAVE_RUN
+        if any(task.maybe_run for task in self.tasks):
+            return errors.Outcome.MAY_HAVE_RUN
+        return errors.Outcome.NOT_RUN
+
+
+class TaskRun:
+    """One task of a submission."""
+
+    __slots__ = (
+        "run",
+        "index",
+        "task",
+        "times",
+        "demand",
+        "amounts",
+        "cost_s",
+        "deadline_s",
+        "waiting",
+        "is_long",
+        "finished",
+        "maybe_run",
+        "next_attempt",
+        "live",
+        "avoid",
+        "runs_used",
+        "queue",
+        "queue_team",
+        "queued_s",
+    )
+
+    def __init__(
+        self,
+        run: Run,
+        index: int,
+        task: work.Task,
+        times: "runtimes.MethodTimes",
+        demand: resources.Resources,
+    ) -> None:
+        self.run = run
+        self.index = index
+        self.task = task
+        self.times = times
+        self.demand = demand
+        # The same in the order of ``resources.FIELDS``, for quick sums.
+        self.amounts = (
+            demand.slots,
+            demand.cores,
+            demand.memory_mb,
+            demand.accelerators,
+        )
+        self.cost_s = 0.0
+        self.deadline_s = run.deadline_s
+        self.waiting = False
+        self.is_long = False
+        self.finished = False
+        # An attempt ended without proof that it did not run.
+        self.maybe_run = False
+        self.next_attempt = 0
+        self.live: list[Attempt] = []
+        # Names of keepers that another attempt should not use.
+        self.avoid: tuple[str, ...] = ()
+        # Attempts that may have run, for the limit on retries.
+        self.runs_used = 0
+        self.queue: "fairness.FairQueue[TaskRun] | None" = None
+        self.queue_team = ""
+        self.queued_s = 0.0
+
+
+class Attempt:
+    """One start that was sent to a keeper and is not yet resolved."""
+
+    __slots__ = (
+        "key",
+        "task",
+        "keeper",
+        "sent_s",
+        "check_s",
+        "due_s",
+        "order",
+        "reflected",
+        "stopping",
+        "is_long",
+        "queries",
+        "hedge_s",
+        "seen_running",
+    )
+
+    def __init__(
+        self,
+        key: tasks.TaskKey,
+        task: TaskRun,
+        keeper: "pools.KeeperState",
+        sent_s: float,
+    ) -> None:
+        self.key = key
+        self.task = task
+        self.keeper = keeper
+        self.sent_s = sent_s
+        self.check_s = 0.0
+        self.due_s = 0.0
+        self.order = 0
+        # The keeper's load includes this start.
+        self.reflected = False
+        self.stopping = False
+        self.is_long = task.is_long
+        self.queries = 0
+        self.hedge_s = 0.0
+        self.seen_running = False
--- /dev/null
+++ b/src/_jasminewind/decisions/runtimes.py
@@ -0,0 +1,132 @@
+"""Run times learned per method, and speed learned per endpoint."""
+
+import typing
+
+from hdrh import histogram
+
+MAX_RUN_MS = 4 * 3600 * 1000
+SIGNIFICANT_FIGURES = 2
+# A window of samples replaces the one before after this many samples or
+# seconds, so that estimates follow a change within two windows.
+WINDOW_SAMPLES = 500
+WINDOW_S = 60.0
+# Estimates are computed again after this many new samples.
+REFRESH_SAMPLES = 32
+# The declared run time counts as this many samples.
+PRIOR_SAMPLES = 3.0
+# Run time assumed when nothing was learned or declared, in seconds.
+DEFAULT_RUN_S = 0.3
+# Quantiles are used only when this many samples stand behind them.
+MIN_SAMPLES = 20
+MAX_METHODS = 1_000
+# Weight of one new sample in the speed of an endpoint.
+SPEED_WEIGHT = 0.1
+MIN_SLOWNESS = 0.1
+MAX_SLOWNESS = 20.0
+
+
+class MethodTimes:
+    """Run times of one method: two windows of samples, the older fading."""
+
+    def __init__(self) -> None:
+        self.current = self.new_window()
+        self.previous: histogram.HdrHistogram | None = None
+        self.window_start_s: float | None = None
+        self.samples = 0
+        self.since_refresh = 0
+        self.median_s = 0.0
+        self.p99_s = 0.0
+
+    @staticmethod
+    def new_window() -> typing.Any:
+        """Return an empty window; it counts milliseconds."""
+        return histogram.HdrHistogram(1, MAX_RUN_MS, SIGNIFICANT_FIGURES)
+
+    def add(self, run_s: float, now_s: float) -> None:
+        """Add one sample."""
+        self.rotate(now_s)
+        value_ms = min(max(int(run_s * 1000.0), 1), MAX_RUN_MS)
+        self.current.record_value(value_ms)
+        self.samples += 1
+        self.since_refresh += 1
+        if self.samples <= MIN_SAMPLES or (
+            self.since_refresh >= REFRESH_SAMPLES
+        ):
+            self.refresh()
+
+    def rotate(self, now_s: float) -> None:
+        """Start a new window when the current one is full or old."""
+        if self.window_start_s is None:
+            self.window_start_s = now_s
+        age_s = now_s - self.window_start_s
+        count = self.current.get_total_count()
+        if count < WINDOW_SAMPLES and age_s < WINDOW_S:
+            return
+        self.previous = self.current if age_s < 2 * WINDOW_S else None
+        self.current = self.new_window()
+        self.window_start_s = now_s
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Compute the estimates from both windows."""
+        self.since_refresh = 0
+        merged = self.new_window()
+        merged.add(self.current)
+        if self.previous is not None:
+            merged.add(self.previous)
+        self.samples = merged.get_total_count()
+        if self.samples == 0:
+            self.median_s = 0.0
+            self.p99_s = 0.0
+            return
+        values = merged.get_percentile_to_value_dict([50.0, 99.0])
+        self.median_s = values[50.0] / 1000.0
+        self.p99_s = values[99.0] / 1000.0
+
+
+class RunTimes:
+    """Run times per (service, method)."""
+
+    def __init__(self) -> None:
+        self.methods: dict[tuple[str, str], MethodTimes] = {}
+
+    def method(self, service: str, method: str) -> MethodTimes:
+        """Return the samples of a method, new ones if it is unknown."""
+        key = (service, method)
+        times = self.methods.get(key)
+        if times is None:
+            if len(self.methods) >= MAX_METHODS:
+                del self.methods[next(iter(self.methods))]
+            times = MethodTimes()
+            self.methods[key] = times
+        return times
+
+    def expected_s(self, times: MethodTimes, declared_s: float) -> float:
+        """Return the expected run time, with the declared one as prior."""
+        prior_s = declared_s if declared_s > 0 else DEFAULT_RUN_S
+        if times.samples == 0:
+            return prior_s
+        weight = PRIOR_SAMPLES if declared_s > 0 else 0.0
+        total = times.median_s * times.samples + prior_s * weight
+        return total / (times.samples + weight)
+
+
+def learned_s(times: MethodTimes) -> float:
+    """Return the learned median, or 0 when too little is known.
+
+    Declared times are left out: work must not be refused, and so never be
+    measured, because of a wrong declaration.
+    """
+    return times.median_s if times.samples >= MIN_SAMPLES else 0.0
+
+
+def blend_slowness(slowness: float, run_s: float, expected_s: float) -> float:
+    """Return an endpoint's slowness after one more successful task.
+
+    Slowness is run time divided by the run time of the same method on all
+    endpoints; 1 is typical and 2 is half as fast.
+    """
+    if expected_s <= 0.0:
+        return slowness
+    sample = min(max(run_s / expected_s, MIN_SLOWNESS), MAX_SLOWNESS)
+    return slowness + SPEED_WEIGHT * (sample - slowness)
--- a/src/_jasminewind/members.py
+++ b/src/_jasminewind/members.py
@@ -83,7 +83,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Member:
-    """Record that a process announces about itself."""
+    """Record that a process announces about itself.
+
+    ``suspect`` is not announced: the view of a receiver sets it while the
+    member is silent, and such a member gets no new work.
+    """
 
     node: NodeId
     address: Address
@@ -97,3 +101,4 @@
     shards: tuple[int, ...] = ()
     config_version: int = 0
     sequence: int = 0
+    suspect: bool = False
--- a/src/_jasminewind/messages/tasks.py
+++ b/src/_jasminewind/messages/tasks.py
@@ -5,6 +5,7 @@
 
 from _jasminewind import errors
 from _jasminewind import members
+from _jasminewind import resources
 from _jasminewind.messages import work
 
 
@@ -59,12 +60,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class TaskResult:
-    """End of one started task. ``error`` is ``None`` on success."""
+    """End of one started task. ``error`` is ``None`` on success.
+
+    ``used`` is the measured use of the task where the worker reports it.
+    """
 
     key: TaskKey
     run_s: float
     payload: str = ""
     error: errors.WorkError | None = None
+    used: resources.Resources | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- /dev/null
+++ b/testing/decisions/conftest.py
@@ -0,0 +1,388 @@
+"""Fixtures that drive decisions with a fake clock and fake keepers."""
+
+import dataclasses
+import random
+
+import pytest
+
+from _jasminewind import configuration
+from _jasminewind import errors
+from _jasminewind import ids
+from _jasminewind import members
+from _jasminewind import resources
+from _jasminewind import shards
+from _jasminewind.decisions import coordinator
+from _jasminewind.decisions import core
+from _jasminewind.decisions import verdicts
+from _jasminewind.messages import tasks
+from _jasminewind.messages import work
+
+START_WALL_MS = 1_796_000_000_000
+ENTRY = members.NodeId("entry-1", 1)
+OTHER_ENTRY = members.NodeId("entry-2", 1)
+SELF = members.NodeId("agent-0", 1)
+DOMAINS = ("fd-a", "fd-b", "fd-c")
+
+
+class FakeOwnership:
+    """Ownership that owns every shard up to a ceiling."""
+
+    def __init__(self):
+        self.kind = verdicts.VerdictKind.ACCEPT
+        self.interval = None
+        self.wanted = []
+
+    def judge(self, work_id, now):
+        """Return the verdict that the test has set."""
+        del work_id, now
+        return verdicts.Verdict(kind=self.kind, interval=self.interval)
+
+    def wants(self, work_id, now):
+        """Note the id that was ahead."""
+        del now
+        self.wanted.append(work_id)
+        return []
+
+    def owned(self):
+        """Return every shard of the default configuration."""
+        return (0, 1, 2, 3)
+
+
+class FakeKeeper:
+    """Keeper beside an endpoint that ends tasks when the test says so."""
+
+    def __init__(self, member):
+        self.member = member
+        self.sequence = member.load.sequence
+        self.running = {}
+        self.done = {}
+        self.tombstones = set()
+        self.received = []
+        self.stopped = []
+        self.refuses = False
+
+    @property
+    def node(self):
+        """Return the id of this incarnation."""
+        return self.member.node
+
+    def load(self):
+        """Return a new report of the endpoint's load."""
+        self.sequence += 1
+        free = self.member.endpoint.capacity
+        for start in self.running.values():
+            free = free - start.task.demand
+        return members.Load(
+            sequence=self.sequence,
+            free=free,
+            free_long=free - self.member.endpoint.capacity.scaled(0.25),
+            running=len(self.running),
+        )
+
+    def take(self, message):
+        """Take starts and return the message that refuses some or None."""
+        refused = []
+        for start in message.starts:
+            self.received.append(start.key)
+            if self.refuses or start.key in self.tombstones:
+                refused.append(start.key)
+            else:
+                self.running[start.key] = start
+        if not refused:
+            return None
+        return tasks.TasksRefused(
+            refusals=tuple(
+                tasks.TaskRefusal(key=key, reason="full") for key in refused
+            ),
+            load=self.load(),
+        )
+
+    def end(self, key, *, run_s=0.1, error=None, used=None):
+        """End one running task and return its results message."""
+        del self.running[key]
+        self.done[key] = tasks.TaskResult(
+            key=key,
+            run_s=run_s,
+            payload="" if error else f'"{key.index}"',
+            error=error,
+            used=used,
+        )
+        return self.results(key)
+
+    def results(self, *keys):
+        """Return a message with the results of tasks that have ended."""
+        return tasks.TaskResults(
+            keeper=self.node,
+            results=tuple(self.done[key] for key in keys),
+            load=self.load(),
+        )
+
+    def answer(self, query):
+        """Return the reply to a query, leaving tombstones."""
+        statuses = []
+        for key in query.keys:
+            standing = tasks.TaskStanding.NEVER_SEEN
+            if key in self.done:
+                standing = tasks.TaskStanding.DONE
+            elif key in self.running:
+                standing = tasks.TaskStanding.RUNNING
+            else:
+                self.tombstones.add(key)
+            statuses.append(
+                tasks.TaskStatus(
+                    key=key, standing=standing, result=self.done.get(key)
+                )
+            )
+        return tasks.TaskStatuses(keeper=self.node, statuses=tuple(statuses))
+
+
+def make_member(name, endpoint, index, incarnation=1):
+    """Return a serving member with an idle endpoint."""
+    return members.Member(
+        node=members.NodeId(name, incarnation),
+        address=members.Address("127.0.0.1", 4000 + index),
+        role=members.Role.AGENT,
+        region="here",
+        failure_domain=DOMAINS[index % len(DOMAINS)],
+        rack=f"rack-{index // len(DOMAINS)}",
+        state=members.State.SERVING,
+        endpoint=endpoint,
+        load=members.Load(
+            sequence=1,
+            free=endpoint.capacity,
+            free_long=endpoint.capacity.scaled(0.75),
+        ),
+    )
+
+
+def minion(name, *, slots=8):
+    """Return a minion of the service that the tests use."""
+    return members.Endpoint(
+        name=f"{name}-endpoint",
+        kind=members.EndpointKind.MINION,
+        service="orders",
+        capacity=resources.Resources(slots=slots),
+        connections=64,
+    )
+
+
+def worker(name, *, cores=32.0, memory_mb=128_000.0):
+    """Return a worker."""
+    return members.Endpoint(
+        name=f"{name}-endpoint",
+        kind=members.EndpointKind.WORKER,
+        capacity=resources.Resources(cores=cores, memory_mb=memory_mb),
+    )
+
+
+class Harness:
+    """A coordinator with a fake clock and fake keepers.
+
+    Messages to keepers are collected in ``mail`` and are delivered only by
+    :meth:`deliver`, so that a test can lose, repeat or reorder them.
+    """
+
+    def __init__(self, *, minions=3, workers=0, slots=8, cores=32.0):
+        self.rng = random.Random(7)
+        self.ownership = FakeOwnership()
+        self.now = core.Instant(100.0, START_WALL_MS)
+        self.coordinator = coordinator.Coordinator(
+            member=make_member("agent-0", minion("agent-0"), 0),
+            ownership=self.ownership,
+            rng=random.Random(1),
+        )
+        self.keepers = {}
+        self.mail = []
+        self.answers = []
+        self.sent = []
+        self.logs = []
+        self.config = configuration.Configuration(
+            version=1,
+            teams=(
+                configuration.Team(name="red"),
+                configuration.Team(name="blue"),
+            ),
+            services=(configuration.Service(name="orders"),),
+        )
+        self.configure()
+        for index in range(minions):
+            name = f"minion-{index}"
+            endpoint = minion(name, slots=slots)
+            self.add_keeper(make_member(name, endpoint, index))
+        for index in range(workers):
+            name = f"worker-{index}"
+            endpoint = worker(name, cores=cores)
+            self.add_keeper(make_member(name, endpoint, index))
+        self.announce()
+
+    def configure(self, **changes):
+        """Put a changed configuration in force."""
+        self.config = dataclasses.replace(
+            self.config, version=self.config.version + 1, **changes
+        )
+        self.run(self.coordinator.on_config(self.config, self.now))
+
+    def add_keeper(self, member):
+        """Add a keeper to the cell."""
+        self.keepers[member.node] = FakeKeeper(member)
+
+    def announce(self, *, without=(), suspects=()):
+        """Give the coordinator a view of the cell."""
+        view = tuple(
+            dataclasses.replace(
+                each.member,
+                load=each.load(),
+                suspect=each.node.name in suspects,
+            )
+            for each in self.keepers.values()
+            if each.node.name not in without
+        )
+        self.run(self.coordinator.on_members(view, self.now))
+
+    def run(self, actions):
+        """Sort actions by what becomes of them."""
+        for action in actions:
+            if isinstance(action, core.LogDecision):
+                self.logs.append(action)
+            elif isinstance(action.message, work.Answer):
+                self.answers.append((action.to, action.message))
+            elif isinstance(
+                action.message,
+                (tasks.StartTasks, tasks.StopTasks, tasks.QueryTasks),
+            ):
+                self.mail.append(action)
+            else:
+                self.sent.append(action)
+
+    def give(self, sender, message):
+        """Give the coordinator one message."""
+        self.run(self.coordinator.on_message(sender, message, self.now))
+
+    def advance(self, seconds, step_s=0.1):
+        """Let time pass in ticks."""
+        end_s = self.now.mono_s + seconds
+        while self.now.mono_s < end_s - 1e-9:
+            mono_s = min(self.now.mono_s + step_s, end_s)
+            wall_ms = START_WALL_MS + int((mono_s - 100.0) * 1000)
+            self.now = core.Instant(mono_s, wall_ms)
+            self.run(self.coordinator.on_tick(self.now))
+
+    def new_id(self):
+        """Return a new work id."""
+        return ids.new(wall_ms=self.now.wall_ms, rng=self.rng)
+
+    def submit(
+        self,
+        count=1,
+        *,
+        work_id=None,
+        kind=work.WorkKind.REQUEST,
+        team="red",
+        budget_s=30.0,
+        sender=ENTRY,
+        **task_fields,
+    ):
+        """Submit work and return its id."""
+        work_id = work_id or self.new_id()
+        fields = {"service": "orders", "method": "quote", **task_fields}
+        if kind == work.WorkKind.JOB:
+            fields.setdefault("demand", resources.Resources(cores=1.0))
+        message = work.Submit(
+            work_id=work_id,
+            kind=kind,
+            team=team,
+            tasks=tuple(
+                work.Task(name=f"task-{index}", **fields)
+                for index in range(count)
+            ),
+            budget_s=budget_s,
+            config_version=1,
+        )
+        self.give(sender, message)
+        return work_id
+
+    def deliver(self):
+        """Deliver everything on its way to keepers, in order."""
+        mail, self.mail = self.mail, []
+        for send in mail:
+            keeper = self.keepers.get(send.to)
+            if keeper is None:
+                continue
+            if isinstance(send.message, tasks.StartTasks):
+                refusal = keeper.take(send.message)
+                if refusal is not None:
+                    self.give(keeper.node, refusal)
+            elif isinstance(send.message, tasks.StopTasks):
+                self.stop(keeper, send.message)
+            else:
+                self.give(keeper.node, keeper.answer(send.message))
+
+    def stop(self, keeper, message):
+        """Let a keeper stop tasks, as one that frees its slots at once."""
+        error = errors.WorkError(
+            code=errors.Code.CANCELED,
+            outcome=errors.Outcome.FAILED_WHILE_RUNNING,
+            reason="stopped",
+        )
+        for key in message.keys:
+            keeper.stopped.append(key)
+            if key in keeper.running:
+                self.give(keeper.node, keeper.end(key, error=error))
+
+    def end_all(self, **kwargs):
+        """End every running task on every keeper."""
+        for keeper in list(self.keepers.values()):
+            for key in list(keeper.running):
+                if key in keeper.running:
+                    self.give(keeper.node, keeper.end(key, **kwargs))
+
+    def finish(self, rounds=1_000, **kwargs):
+        """Deliver and end tasks until nothing is left to do."""
+        for _ in range(rounds):
+            self.deliver()
+            self.end_all(**kwargs)
+            is_idle = not any(each.running for each in self.keepers.values())
+            if not self.mail and is_idle:
+                return
+
+    def running(self):
+        """Return every running task key."""
+        return [key for each in self.keepers.values() for key in each.running]
+
+    def answer(self, work_id, to=ENTRY):
+        """Return the only answer to an id, or None when there is none."""
+        found = [
+            answer
+            for receiver, answer in self.answers
+            if answer.work_id == work_id and receiver == to
+        ]
+        assert len(found) <= 1, f"{len(found)} answers to {work_id}"
+        return found[0] if found else None
+
+
+def failure(outcome, code=errors.Code.INTERNAL):
+    """Return a work error with an outcome."""
+    return errors.WorkError(code=code, outcome=outcome, reason="it failed")
+
+
+def row_interval(owner):
+    """Return an interval that another process holds."""
+    return shards.Interval(
+        epoch=3,
+        owner=owner,
+        address=members.Address("127.0.0.1", 5000),
+        floor_ms=0,
+        ceiling_ms=START_WALL_MS,
+    )
+
+
+@pytest.fixture
+def harness():
+    """Return a coordinator with three minions of 8 slots."""
+    return Harness()
+
+
+@pytest.fixture
+def make_harness():
+    """Return the class, for tests that need another cell."""
+    return Harness
--- /dev/null
+++ b/testing/decisions/test_coordinator.py
@@ -0,0 +1,225 @@
+"""Tests of the coordinator: one whole answer for every submission."""
+
+import pytest
+
+from _jasminewind import errors
+from _jasminewind import members
+from _jasminewind.decisions import verdicts
+from _jasminewind.messages import ownership as ownership_messages
+from _jasminewind.messages import tasks
+from _jasminewind.messages import work
+from testing.decisions import conftest
+
+JOB = work.WorkKind.JOB
+Outcome = errors.Outcome
+Code = errors.Code
+
+
+def test_job_answer_is_whole_and_in_order(make_harness):
+    """Guards against outputs in the order in which tasks happen to end."""
+    harness = make_harness(minions=0, workers=3)
+    work_id = harness.submit(20, kind=JOB)
+    harness.deliver()
+    for keeper in reversed(list(harness.keepers.values())):
+        for key in reversed(list(keeper.running)):
+            assert harness.answer(work_id) is None
+            harness.give(keeper.node, keeper.end(key))
+    answer = harness.answer(work_id)
+    assert answer.state == work.WorkState.COMPLETE
+    payloads = [each.payload for each in answer.outputs]
+    assert payloads == [f'"{index}"' for index in range(20)]
+
+
+def test_resubmission_of_running_id_joins_it(harness):
+    """Guards against a second start when a client believes a job lost."""
+    work_id = harness.submit()
+    harness.submit(work_id=work_id, sender=conftest.OTHER_ENTRY)
+    harness.finish()
+    first = harness.answer(work_id)
+    assert first.state == work.WorkState.COMPLETE
+    assert harness.answer(work_id, conftest.OTHER_ENTRY) == first
+    received = [each.received for each in harness.keepers.values()]
+    assert sum(len(keys) for keys in received) == 1
+
+
+def test_resubmission_of_finished_id_gets_stored_answer(harness):
+    """Guards against running a finished job again."""
+    work_id = harness.submit()
+    harness.finish()
+    harness.submit(work_id=work_id, sender=conftest.OTHER_ENTRY)
+    stored = harness.answer(work_id, conftest.OTHER_ENTRY)
+    assert stored == harness.answer(work_id)
+    assert not harness.mail
+
+
+def test_failed_task_fails_the_job_and_stops_the_rest(make_harness):
+    """Guards against partial answers and against work nobody waits for."""
+    harness = make_harness(minions=0, workers=2, cores=8.0)
+    work_id = harness.submit(20, kind=JOB)
+    harness.deliver()
+    keeper = next(each for each in harness.keepers.values() if each.running)
+    key = next(iter(keeper.running))
+    error = conftest.failure(Outcome.FAILED_WHILE_RUNNING)
+    harness.give(keeper.node, keeper.end(key, error=error))
+    answer = harness.answer(work_id)
+    assert answer.state == work.WorkState.FAILED
+    assert answer.outputs == ()
+    assert answer.error.outcome == Outcome.FAILED_WHILE_RUNNING
+    harness.deliver()
+    assert not harness.running()
+    harness.finish()
+    assert len(harness.answers) == 1
+    assert harness.coordinator.status().tasks_waiting == 0
+
+
+def test_cancel_before_any_start_is_not_run(make_harness):
+    """Guards against a wrong outcome for work that never left the queue."""
+    harness = make_harness(minions=1, slots=1)
+    running = harness.submit()
+    queued = harness.submit()
+    harness.give(conftest.ENTRY, work.Cancel(work_id=queued))
+    error = harness.answer(queued).error
+    assert (error.code, error.outcome) == (Code.CANCELED, Outcome.NOT_RUN)
+    harness.finish()
+    received = next(iter(harness.keepers.values())).received
+    assert [key.work_id for key in received] == [running]
+
+
+def test_cancel_after_a_start_may_have_run(harness):
+    """Guards against NOT_RUN for work that a keeper may have started."""
+    work_id = harness.submit()
+    harness.give(conftest.ENTRY, work.Cancel(work_id=work_id))
+    error = harness.answer(work_id).error
+    assert error.code == Code.CANCELED
+    assert error.outcome == Outcome.MAY_HAVE_RUN
+
+
+def test_cancellation_wave_is_one_message_per_keeper(make_harness):
+    """Guards against a message per task when many tasks are cancelled."""
+    harness = make_harness(minions=0, workers=3)
+    work_id = harness.submit(60, kind=JOB)
+    harness.deliver()
+    harness.give(conftest.ENTRY, work.Cancel(work_id=work_id))
+    assert len(harness.mail) <= 3
+    harness.deliver()
+    assert not harness.running()
+    later = harness.submit(60, kind=JOB)
+    harness.finish()
+    assert harness.answer(later).state == work.WorkState.COMPLETE
+
+
+def test_id_ahead_waits_for_the_interval(harness):
+    """Guards against losing a submission whose id is slightly ahead."""
+    harness.ownership.kind = verdicts.VerdictKind.AHEAD
+    work_id = harness.submit()
+    assert harness.ownership.wanted == [work_id]
+    assert not harness.mail
+    harness.advance(0.5)
+    harness.ownership.kind = verdicts.VerdictKind.ACCEPT
+    harness.advance(0.1)
+    harness.finish()
+    assert harness.answer(work_id).state == work.WorkState.COMPLETE
+
+
+def test_id_that_stays_ahead_is_answered(harness):
+    """Guards against a submission that waits for ever for an interval."""
+    harness.ownership.kind = verdicts.VerdictKind.AHEAD
+    work_id = harness.submit()
+    harness.advance(2.1)
+    assert harness.answer(work_id).error.outcome == Outcome.MAY_HAVE_RUN
+    assert not harness.coordinator.has_work()
+
+
+def test_cancel_of_a_pending_id_prevents_its_start(harness):
+    """Guards against starting a submission after it was cancelled."""
+    harness.ownership.kind = verdicts.VerdictKind.AHEAD
+    work_id = harness.submit()
+    harness.give(conftest.ENTRY, work.Cancel(work_id=work_id))
+    assert harness.answer(work_id).error.outcome == Outcome.NOT_RUN
+    harness.ownership.kind = verdicts.VerdictKind.ACCEPT
+    harness.advance(1.0)
+    harness.submit(work_id=work_id, sender=conftest.OTHER_ENTRY)
+    assert not harness.mail
+
+
+def test_id_of_another_owner_is_redirected(harness):
+    """Guards against two owners that start the same id."""
+    owner = members.NodeId("agent-9", 4)
+    harness.ownership.kind = verdicts.VerdictKind.NOT_OWNER
+    harness.ownership.interval = conftest.row_interval(owner)
+    harness.submit()
+    assert harness.sent[-1].message.owner == owner
+    assert not harness.mail
+
+
+def test_id_of_a_lost_interval_may_have_run(harness):
+    """Guards against running an id that an earlier owner may have run."""
+    harness.ownership.kind = verdicts.VerdictKind.EARLIER
+    work_id = harness.submit()
+    assert harness.answer(work_id).error.outcome == Outcome.MAY_HAVE_RUN
+    assert not harness.mail
+
+
+def test_handed_over_answer_is_found(harness):
+    """Guards against losing answers when an owner leaves gracefully."""
+    work_id = harness.new_id()
+    answer = work.Answer(
+        work_id=work_id,
+        state=work.WorkState.FAILED,
+        error=conftest.failure(Outcome.FAILED_WHILE_RUNNING),
+    )
+    sender = members.NodeId("agent-8", 1)
+    message = ownership_messages.HandOver(shard=1, epoch=4, answers=(answer,))
+    harness.give(sender, message)
+    ack = harness.sent[-1].message
+    assert isinstance(ack, ownership_messages.HandOverAck)
+    harness.ownership.kind = verdicts.VerdictKind.EARLIER
+    harness.submit(work_id=work_id)
+    assert harness.answer(work_id) == answer
+
+
+@pytest.mark.parametrize("finished", [False, True])
+def test_query_tells_the_state(harness, finished):
+    """Guards against a status that hides what is known."""
+    work_id = harness.submit()
+    state = work.WorkState.RUNNING
+    if finished:
+        harness.finish()
+        state = work.WorkState.COMPLETE
+    query = work.QueryWork(work_id=work_id, query_id=5)
+    harness.give(conftest.ENTRY, query)
+    status = harness.sent[-1].message
+    assert (status.query_id, status.state) == (5, state)
+    assert status.answer == harness.answer(work_id)
+
+
+def test_newer_configuration_is_fetched_before_work_starts(harness):
+    """Guards against starting work under a configuration that is old."""
+    message = work.Submit(
+        work_id=harness.new_id(),
+        kind=work.WorkKind.REQUEST,
+        team="red",
+        tasks=(work.Task(name="a", service="orders", method="quote"),),
+        budget_s=10.0,
+        config_version=99,
+    )
+    harness.give(conftest.ENTRY, message)
+    assert not harness.mail
+    assert harness.sent[-1].message.have_version == harness.config.version
+    harness.config = harness.config.__class__(
+        version=98, teams=harness.config.teams
+    )
+    harness.configure()
+    harness.finish()
+    answer = harness.answer(message.work_id)
+    assert answer.state == work.WorkState.COMPLETE
+
+
+def test_results_are_always_acknowledged(harness):
+    """Guards against a keeper that repeats an unknown result for ever."""
+    keeper = next(iter(harness.keepers.values()))
+    key = tasks.TaskKey(harness.new_id(), 0, 0)
+    keeper.done[key] = tasks.TaskResult(key=key, run_s=0.1)
+    harness.give(keeper.node, keeper.results(key))
+    assert harness.sent[-1].message == tasks.ResultsAck(keys=(key,))
+    assert harness.sent[-1].to == keeper.node
