--- a/src/_jasminewind/decisions/ownership.py
+++ b/src/_jasminewind/decisions/ownership.py
@@ -7,7 +7,6 @@
 
 import collections.abc
 import dataclasses
-import enum
 import random
 
 import msgspec
@@ -23,44 +22,13 @@
 from _jasminewind.decisions import promises
 from _jasminewind.decisions import rows
 from _jasminewind.decisions import tenures
+from _jasminewind.decisions import verdicts
 from _jasminewind.messages import ownership as messages
 from _jasminewind.messages import work
 
 ANNOUNCE_EVERY_S = 1.0
 
 
-class Standing(enum.StrEnum):
-    """What this process may do with an id.
-
-    ``ACCEPT``: the id is in an interval of this process. ``AHEAD``: it is
-    above the ceiling of a shard that this process owns. ``EARLIER``: it
-    is at or below the floor of the shard. ``NOT_OWNER``: another process
-    owns the shard. ``UNKNOWN``: no owner is known.
-    """
-
-    ACCEPT = "accept"
-    AHEAD = "ahead"
-    EARLIER = "earlier"
-    NOT_OWNER = "not_owner"
-    UNKNOWN = "unknown"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Verdict:
-    """Judgement of an id.
-
-    ``interval`` is the known interval that covers the id: an earlier one
-    for ``EARLIER`` (``None`` when nobody is known to have held it, so that
-    the id may have run), the current one for ``NOT_OWNER``. ``ahead_ms``
-    is the distance above the ceiling for ``AHEAD``.
-    """
-
-    standing: Standing
-    shard: int
-    interval: shards.Interval | None = None
-    ahead_ms: int = 0
-
-
 class Ownership(core.Decision):
     """The shards of one process.
 
@@ -93,7 +61,7 @@
 
     # Questions of the coordinator.
 
-    def judge(self, work_id: str, now: core.Instant) -> Verdict:
+    def judge(self, work_id: str, now: core.Instant) -> verdicts.Verdict:
         """Tell whether this process may accept ``work_id`` now."""
         del now
         count = self.cell.config.shard_count
@@ -101,42 +69,56 @@
         time_ms = ids.time_ms(work_id)
         if time_ms <= self.retained.get(shard, 0):
             if self.tenures.held(shard):
-                return Verdict(standing=Standing.EARLIER, shard=shard)
+                return verdicts.Verdict(
+                    kind=verdicts.VerdictKind.EARLIER, shard=shard
+                )
         for holding in self.tenures.held(shard):
             if holding.covers(time_ms):
                 holding.highest_ms = max(holding.highest_ms, time_ms)
-                return Verdict(standing=Standing.ACCEPT, shard=shard)
+                return verdicts.Verdict(
+                    kind=verdicts.VerdictKind.ACCEPT, shard=shard
+                )
         current = self.tenures.current.get(shard)
         if current is None:
             return self.judge_foreign(shard, time_ms)
         if time_ms <= current.floor_ms:
             return self.judge_earlier(current.row, time_ms)
         if current.frozen:
-            return Verdict(standing=Standing.NOT_OWNER, shard=shard)
-        return Verdict(
-            standing=Standing.AHEAD,
+            return verdicts.Verdict(
+                kind=verdicts.VerdictKind.NOT_OWNER, shard=shard
+            )
+        return verdicts.Verdict(
+            kind=verdicts.VerdictKind.AHEAD,
             shard=shard,
             ahead_ms=time_ms - current.ceiling_ms,
         )
 
-    def judge_foreign(self, shard: int, time_ms: int) -> Verdict:
+    def judge_foreign(self, shard: int, time_ms: int) -> verdicts.Verdict:
         """Judge an id of a shard that another process may own."""
         row = self.cell.rows.get(shard)
         if row is None:
-            return Verdict(standing=Standing.UNKNOWN, shard=shard)
+            return verdicts.Verdict(
+                kind=verdicts.VerdictKind.UNKNOWN, shard=shard
+            )
         if time_ms <= row.current.floor_ms:
             return self.judge_earlier(row, time_ms)
         if row.current.owner == self.cell.member.node or row.closed:
-            return Verdict(standing=Standing.UNKNOWN, shard=shard)
-        return Verdict(
-            standing=Standing.NOT_OWNER, shard=shard, interval=row.current
+            return verdicts.Verdict(
+                kind=verdicts.VerdictKind.UNKNOWN, shard=shard
+            )
+        return verdicts.Verdict(
+            kind=verdicts.VerdictKind.NOT_OWNER,
+            shard=shard,
+            interval=row.current,
         )
 
-    def judge_earlier(self, row: shards.ShardRow, time_ms: int) -> Verdict:
+    def judge_earlier(
+        self, row: shards.ShardRow, time_ms: int
+    ) -> verdicts.Verdict:
         """Judge an id at or below the floor of ``row``."""
         covering = (i for i in row.earlier if i.covers(time_ms))
-        return Verdict(
-            standing=Standing.EARLIER,
+        return verdicts.Verdict(
+            kind=verdicts.VerdictKind.EARLIER,
             shard=row.shard,
             interval=next(covering, None),
         )
