Add the keeper of an endpoint

Cause: every start on a minion or a worker has to go through one place that starts each task key at most once.

--- /dev/null
+++ b/src/_jasminewind/decisions/capacity.py
@@ -0,0 +1,202 @@
+"""What the tasks on one endpoint hold of its capacity."""
+
+import dataclasses
+import math
+
+from _jasminewind import configuration
+from _jasminewind import members
+from _jasminewind import resources
+from _jasminewind.decisions import core
+from _jasminewind.messages import tasks
+
+# Usage reports lag and start low, so a report lowers a holding by at most a
+# fifth. A rise counts in full, because a worker kills tasks that exceed its
+# memory.
+MAX_FALL = 0.8
+MIN_CORRECTION = 0.5
+MAX_CORRECTION = 4.0
+# Share of its cores that a throttled task keeps.
+THROTTLED_SHARE = 0.25
+DEFAULT_DEMAND = resources.Resources(cores=1.0)
+# Absorbs rounding errors of repeated sums.
+EPSILON = 1e-6
+
+
+@dataclasses.dataclass
+class Holding:
+    """What one task holds; ``demand`` is what was declared for it."""
+
+    demand: resources.Resources
+    held: resources.Resources
+    is_long: bool
+    is_throttled: bool = False
+
+    def effective(self) -> resources.Resources:
+        """Return what the task holds now, less when it is throttled."""
+        if not self.is_throttled:
+            return self.held
+        cores = self.held.cores * THROTTLED_SHARE
+        return dataclasses.replace(self.held, cores=cores)
+
+
+def clipped(amount: resources.Resources) -> resources.Resources:
+    """Return ``amount`` without negative parts, rounded."""
+    return resources.Resources(
+        slots=max(0.0, round(amount.slots, 6)),
+        cores=max(0.0, round(amount.cores, 6)),
+        memory_mb=max(0.0, round(amount.memory_mb, 6)),
+        accelerators=max(0.0, round(amount.accelerators, 6)),
+    )
+
+
+def covers(
+    available: resources.Resources, demand: resources.Resources
+) -> bool:
+    """Tell whether ``available`` covers ``demand``, but for rounding."""
+    for field in resources.FIELDS:
+        need = getattr(demand, field)
+        if need > 0 and need > getattr(available, field) + EPSILON:
+            return False
+    return True
+
+
+def corrected(held: float, declared: float, measured: float) -> float:
+    """Return what a task holds of one resource after a usage report."""
+    target = min(measured, declared * MAX_CORRECTION)
+    target = max(target, declared * MIN_CORRECTION)
+    return max(target, held * MAX_FALL)
+
+
+class Capacity:
+    """Capacity of one endpoint and the holdings of its running tasks."""
+
+    def __init__(self) -> None:
+        self.endpoint: members.Endpoint | None = None
+        self.policy = configuration.Policy()
+        self.holdings: dict[tasks.TaskKey, Holding] = {}
+
+    @property
+    def total(self) -> resources.Resources:
+        """Return the capacity of the endpoint."""
+        if self.endpoint is None:
+            return resources.NOTHING
+        return self.endpoint.capacity
+
+    @property
+    def is_minion(self) -> bool:
+        """Tell whether the endpoint is a minion."""
+        endpoint = self.endpoint
+        if endpoint is None:
+            return False
+        return endpoint.kind is members.EndpointKind.MINION
+
+    def demand_of(self, start: tasks.TaskStart) -> resources.Resources:
+        """Return what a task demands of this kind of endpoint.
+
+        A request takes one slot of a minion, whatever it declares. A job
+        task without any declared amount counts as one core.
+        """
+        if self.is_minion:
+            return resources.ONE_SLOT
+        demand = dataclasses.replace(start.task.demand, slots=0.0)
+        if demand == resources.NOTHING:
+            return DEFAULT_DEMAND
+        return demand
+
+    def long_limit(self) -> resources.Resources:
+        """Return the capacity that long work may use.
+
+        Slots and accelerators are whole; at least one of each is left to
+        long work, because it could never run otherwise.
+        """
+        total = self.total
+        if not self.policy.separate_long_work:
+            return total
+        share = total.scaled(1.0 - self.policy.reserved_share)
+        return dataclasses.replace(
+            share,
+            slots=at_least_one(share.slots, total.slots),
+            accelerators=at_least_one(share.accelerators, total.accelerators),
+        )
+
+    def held(self, *, only_long: bool = False) -> resources.Resources:
+        """Return the sum of the holdings."""
+        total = resources.NOTHING
+        for holding in self.holdings.values():
+            if holding.is_long or not only_long:
+                total = total + holding.effective()
+        return total
+
+    def free(self) -> resources.Resources:
+        """Return the capacity that no task holds."""
+        return clipped(self.total - self.held())
+
+    def free_long(self) -> resources.Resources:
+        """Return the capacity that long work may still take."""
+        left = clipped(self.long_limit() - self.held(only_long=True))
+        free = self.free()
+        return resources.Resources(
+            slots=min(left.slots, free.slots),
+            cores=min(left.cores, free.cores),
+            memory_mb=min(left.memory_mb, free.memory_mb),
+            accelerators=min(left.accelerators, free.accelerators),
+        )
+
+    def can_ever_hold(self, demand: resources.Resources) -> bool:
+        """Tell whether ``demand`` fits the endpoint when it is empty."""
+        return covers(self.total, demand)
+
+    def has_room(self, demand: resources.Resources, *, is_long: bool) -> bool:
+        """Tell whether a task with ``demand`` can start now.
+
+        A long task that is larger than the share of long work may run
+        while no other long task does; else no worker could ever run it.
+        """
+        if not covers(self.free(), demand):
+            return False
+        if not is_long or not self.policy.separate_long_work:
+            return True
+        if covers(self.free_long(), demand):
+            return True
+        is_oversize = not covers(self.long_limit(), demand)
+        return is_oversize and not self.has_long()
+
+    def has_long(self) -> bool:
+        """Tell whether a long task runs."""
+        return any(holding.is_long for holding in self.holdings.values())
+
+    def hold(
+        self,
+        key: tasks.TaskKey,
+        demand: resources.Resources,
+        *,
+        is_long: bool,
+    ) -> None:
+        """Record that the task ``key`` runs."""
+        self.holdings[key] = Holding(
+            demand=demand, held=demand, is_long=is_long
+        )
+
+    def release(self, key: tasks.TaskKey) -> None:
+        """Free what the task ``key`` holds."""
+        self.holdings.pop(key, None)
+
+    def correct(self, usage: core.Usage) -> None:
+        """Adapt a holding to measured use; a throttled task is left."""
+        holding = self.holdings.get(usage.key)
+        if holding is None or holding.is_throttled:
+            return
+        demand = holding.demand
+        holding.held = dataclasses.replace(
+            holding.held,
+            cores=corrected(holding.held.cores, demand.cores, usage.cores),
+            memory_mb=corrected(
+                holding.held.memory_mb, demand.memory_mb, usage.memory_mb
+            ),
+        )
+
+
+def at_least_one(amount: float, total: float) -> float:
+    """Return ``amount`` rounded down, but 1 where ``total`` allows it."""
+    whole = math.floor(amount + EPSILON)
+    return float(max(whole, min(1.0, total)))
--- /dev/null
+++ b/src/_jasminewind/decisions/keeper.py
@@ -0,0 +1,791 @@
+"""The keeper: every start on one endpoint goes through it, once."""
+
+import collections
+import collections.abc
+import dataclasses
+
+import msgspec
+
+from _jasminewind import configuration
+from _jasminewind import errors
+from _jasminewind import members
+from _jasminewind import resources
+from _jasminewind.decisions import capacity
+from _jasminewind.decisions import core
+from _jasminewind.decisions import drain
+from _jasminewind.decisions import results
+from _jasminewind.decisions import throttling
+from _jasminewind.decisions import tombstones
+from _jasminewind.messages import tasks
+
+# A task waits here only to cover the round trip to its coordinator. More
+# would wait behind a slow task while another endpoint is free.
+QUEUE_LIMIT = 2
+# Leaves a place for short work, which can use slots that long work cannot.
+LONG_QUEUE_LIMIT = 1
+ANNOUNCE_LIMIT_S = 3.0
+COORDINATOR_LIMIT_S = 10.0
+LOAD_REPORT_S = 1.0
+# The address is unknown until the member view names the coordinator; the
+# node then uses the link on which the coordinator sent its work.
+UNKNOWN_ADDRESS = members.Address("", 0)
+NOT_STARTED = (
+    errors.EndpointFailure.REFUSED,
+    errors.EndpointFailure.STALE_GENERATION,
+)
+
+
+@dataclasses.dataclass
+class Queued:
+    """A task that waits for room; ``deadline_s`` is monotonic seconds."""
+
+    start: tasks.TaskStart
+    coordinator: members.NodeId
+    demand: resources.Resources
+    deadline_s: float
+
+
+@dataclasses.dataclass
+class Running:
+    """A task on the endpoint.
+
+    ``coordinator`` is ``None`` for a task of an earlier keeper, until a
+    coordinator asks for it.
+    """
+
+    key: tasks.TaskKey
+    coordinator: members.NodeId | None
+    started_s: float
+
+
+@dataclasses.dataclass
+class Informed:
+    """What a coordinator was last told of the free capacity."""
+
+    used_s: float
+    sent_s: float
+    free: resources.Resources = resources.NOTHING
+    free_long: resources.Resources = resources.NOTHING
+
+
+@dataclasses.dataclass(frozen=True)
+class Refusal:
+    """A start that is refused, and who sent it."""
+
+    coordinator: members.NodeId
+    key: tasks.TaskKey
+    reason: str
+
+
+def work_error(error: errors.EndpointError) -> errors.WorkError:
+    """Translate the error of a task that was started."""
+    outcome = errors.Outcome.MAY_HAVE_RUN
+    code = errors.Code.UNAVAILABLE
+    if error.failure is errors.EndpointFailure.FAILED:
+        outcome = errors.Outcome.FAILED_WHILE_RUNNING
+        code = errors.Code.INTERNAL
+    return errors.WorkError(code=code, outcome=outcome, reason=error.reason)
+
+
+def task_result(end: core.TaskEnd) -> tasks.TaskResult:
+    """Return the result that the coordinator receives for ``end``."""
+    if end.error is not None:
+        return tasks.TaskResult(
+            key=end.key, run_s=end.run_s, error=work_error(end.error)
+        )
+    size = len(msgspec.json.encode(end.payload))
+    if size > results.MAX_PAYLOAD_BYTES:
+        error = errors.WorkError(
+            code=errors.Code.INTERNAL,
+            outcome=errors.Outcome.FAILED_WHILE_RUNNING,
+            reason=(
+                f"the task returned {size} bytes, at most "
+                f"{results.MAX_PAYLOAD_BYTES} can be sent; store large "
+                "results and return their location"
+            ),
+        )
+        return tasks.TaskResult(key=end.key, run_s=end.run_s, error=error)
+    return tasks.TaskResult(key=end.key, run_s=end.run_s, payload=end.payload)
+
+
+class Keeper(core.Decision):
+    """Manages the capacity of one endpoint and starts each task once."""
+
+    def __init__(self, *, node: members.NodeId) -> None:
+        self.node = node
+        self.capacity = capacity.Capacity()
+        self.queue: list[Queued] = []
+        self.running: dict[tasks.TaskKey, Running] = {}
+        self.results = results.ResultStore()
+        self.refused = tombstones.KeyMemory()
+        self.finished = tombstones.KeyMemory()
+        self.drain = drain.new_drain()
+        self.drained_by_operator = False
+        self.drained_locally = False
+        self.is_attached = False
+        self.announced_s: float | None = None
+        self.now_s = 0.0
+        self.short_waited_s = float("-inf")
+        self.sequence = 0
+        self.addresses: dict[members.NodeId, members.Address] = {}
+        self.informed: dict[members.NodeId, Informed] = {}
+
+    # Events.
+
+    def handles(self) -> collections.abc.Iterable[type]:
+        """Return the message types that :meth:`on_message` takes."""
+        return (
+            tasks.StartTasks,
+            tasks.StopTasks,
+            tasks.QueryTasks,
+            tasks.ResultsAck,
+        )
+
+    def on_message(
+        self, sender: members.NodeId, message: object, now: core.Instant
+    ) -> core.Actions:
+        """Handle one message of a coordinator."""
+        self.now_s = now.mono_s
+        match message:
+            case tasks.StartTasks():
+                return self.on_start(sender, message, now)
+            case tasks.StopTasks():
+                return self.on_stop(sender, message, now)
+            case tasks.QueryTasks():
+                return self.on_query(sender, message, now)
+            case tasks.ResultsAck():
+                return self.on_ack(message, now)
+        return []
+
+    def on_announce(
+        self, endpoint: members.Endpoint, now: core.Instant
+    ) -> core.Actions:
+        """Note that the endpoint is alive, and its capacity."""
+        self.now_s = now.mono_s
+        self.announced_s = now.mono_s
+        if self.capacity.endpoint == endpoint:
+            return []
+        self.capacity.endpoint = endpoint
+        return self.advance(now)
+
+    def on_attached(
+        self, running: tuple[tasks.TaskKey, ...], now: core.Instant
+    ) -> core.Actions:
+        """Take starts from now on, and adopt what already runs."""
+        self.now_s = now.mono_s
+        self.is_attached = True
+        for key in running:
+            if key in self.running or key in self.results.kept:
+                continue
+            self.running[key] = Running(
+                key=key, coordinator=None, started_s=now.mono_s
+            )
+            # Nothing is known of its demand before the first usage report.
+            self.capacity.hold(key, capacity.DEFAULT_DEMAND, is_long=True)
+        return self.advance(now)
+
+    def on_task_end(
+        self, end: core.TaskEnd, now: core.Instant
+    ) -> core.Actions:
+        """Free what the task held and send its result."""
+        self.now_s = now.mono_s
+        run = self.running.pop(end.key, None)
+        if run is None:
+            return []
+        self.capacity.release(end.key)
+        if end.error is not None and end.error.failure in NOT_STARTED:
+            return self.on_not_started(run, end.error, now)
+        result = task_result(end)
+        self.results.add(result, run.coordinator, now.mono_s)
+        actions = self.advance(now)
+        if run.coordinator is not None:
+            actions.append(self.results_message(run.coordinator, (result,)))
+        return actions
+
+    def on_usage(
+        self, usage: tuple[core.Usage, ...], now: core.Instant
+    ) -> core.Actions:
+        """Correct what running tasks hold by what they use."""
+        self.now_s = now.mono_s
+        for item in usage:
+            self.capacity.correct(item)
+        return self.advance(now)
+
+    def on_config(
+        self, config: configuration.Configuration, now: core.Instant
+    ) -> core.Actions:
+        """Apply the policy and the operator's drains."""
+        self.now_s = now.mono_s
+        self.capacity.policy = config.policy
+        endpoint = self.capacity.endpoint
+        names = {self.node.name}
+        if endpoint is not None:
+            names.add(endpoint.name)
+        self.drained_by_operator = bool(names.intersection(config.drained))
+        return self.update_drain(now)
+
+    def begin_drain(self, now: core.Instant) -> core.Actions:
+        """Refuse new work at once and let running tasks finish."""
+        self.now_s = now.mono_s
+        self.drained_locally = True
+        return self.update_drain(now)
+
+    def undrain(self, now: core.Instant) -> core.Actions:
+        """Take work again, unless the configuration drains the endpoint."""
+        self.now_s = now.mono_s
+        self.drained_locally = False
+        return self.update_drain(now)
+
+    def on_members(
+        self, view: tuple[members.Member, ...], now: core.Instant
+    ) -> core.Actions:
+        """Learn addresses; forget results of replaced coordinators."""
+        self.now_s = now.mono_s
+        self.addresses = {member.node: member.address for member in view}
+        for member in view:
+            for key in self.results.of_replaced(member.node):
+                self.forget_result(key)
+        return []
+
+    def on_link_lost(
+        self, peer: members.NodeId, now: core.Instant
+    ) -> core.Actions:
+        """Send the results again that the lost link may have held."""
+        self.now_s = now.mono_s
+        return self.resend(now, coordinator=peer)
+
+    def on_tick(self, now: core.Instant) -> core.Actions:
+        """Expire, reclassify, unthrottle, send again and report."""
+        self.now_s = now.mono_s
+        self.refused.expire(now.mono_s)
+        self.finished.expire(now.mono_s)
+        for key in self.results.expired(now.mono_s):
+            self.forget_result(key)
+        actions = self.reclassify(now)
+        actions += self.advance(now)
+        actions += self.unthrottle(now)
+        actions += self.resend(now)
+        actions += self.report_load(now)
+        self.update_drained()
+        return actions
+
+    def is_idle(self) -> bool:
+        """Tell whether nothing waits, runs or has to be acknowledged."""
+        if self.queue or self.running:
+            return False
+        return not self.results.holds_up_drain(self.now_s)
+
+    def load(self) -> members.Load:
+        """Return the load for a report that is sent now."""
+        self.sequence += 1
+        free, free_long = self.free()
+        return members.Load(
+            sequence=self.sequence,
+            free=free,
+            free_long=free_long,
+            running=len(self.running),
+            queued=len(self.queue),
+        )
+
+    # Starts.
+
+    def on_start(
+        self,
+        sender: members.NodeId,
+        message: tasks.StartTasks,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Start, queue or refuse each task."""
+        self.note_use(sender, now)
+        refusals = []
+        actions: core.Actions = []
+        for start in message.starts:
+            if self.is_known(start.key):
+                continue
+            reason = self.refusal_of(message.keeper, start)
+            if reason:
+                refusals.append(Refusal(sender, start.key, reason))
+                continue
+            self.queue.append(
+                Queued(
+                    start=start,
+                    coordinator=sender,
+                    demand=self.capacity.demand_of(start),
+                    deadline_s=now.mono_s + start.budget_s,
+                )
+            )
+            actions += self.advance(now)
+        return actions + self.refuse(refusals, now)
+
+    def is_known(self, key: tasks.TaskKey) -> bool:
+        """Tell whether ``key`` was taken before."""
+        if key in self.running or key in self.results.kept:
+            return True
+        if any(item.start.key == key for item in self.queue):
+            return True
+        return self.finished.holds(key)
+
+    def refusal_of(
+        self, keeper: members.NodeId, start: tasks.TaskStart
+    ) -> str:
+        """Return why ``start`` cannot be taken, empty if it can."""
+        if self.refused.holds(start.key):
+            return "the task was refused, stopped or declared lost before"
+        if self.refused.below_floor(start.key):
+            return "the task is older than the starts that are remembered"
+        if self.finished.below_floor(start.key):
+            return "the task is older than the starts that are remembered"
+        if keeper != self.node:
+            return f"the start is for {keeper}, this is {self.node}"
+        reason = self.unavailable()
+        if reason:
+            return reason
+        if start.budget_s <= 0:
+            return "no time is left for the task"
+        expected = len(self.running) + len(self.queue)
+        if self.results.is_full(expected):
+            return "too many results are not acknowledged yet"
+        return self.no_room(start)
+
+    def unavailable(self) -> str:
+        """Return why no start is taken at all, empty if some are."""
+        if self.drain.state() is not drain.DrainState.SERVING:
+            return "the endpoint is drained or leaving"
+        if self.announced_s is None or self.capacity.endpoint is None:
+            return "the endpoint has not announced itself yet"
+        if self.now_s - self.announced_s > ANNOUNCE_LIMIT_S:
+            return "the endpoint has stopped announcing itself"
+        if not self.is_attached:
+            return "the endpoint is not attached"
+        return ""
+
+    def no_room(self, start: tasks.TaskStart) -> str:
+        """Return why ``start`` can neither run nor wait, empty if it can."""
+        demand = self.capacity.demand_of(start)
+        if not self.capacity.can_ever_hold(demand):
+            return "the task is larger than the endpoint"
+        if self.can_start(demand, is_long=start.is_long):
+            return ""
+        if len(self.queue) >= QUEUE_LIMIT:
+            return "the endpoint is busy and its queue is full"
+        waiting_long = [item for item in self.queue if item.start.is_long]
+        if start.is_long and len(waiting_long) >= LONG_QUEUE_LIMIT:
+            return "the endpoint is busy and its queue for long work is full"
+        endpoint = self.capacity.endpoint
+        if endpoint is not None and self.capacity.is_minion:
+            if len(self.running) + len(self.queue) >= endpoint.connections:
+                return "all connections of the minion are in use"
+        return ""
+
+    def can_start(self, demand: resources.Resources, *, is_long: bool) -> bool:
+        """Tell whether a new task can start ahead of none that waits."""
+        if any(is_long or not item.start.is_long for item in self.queue):
+            return False
+        return self.has_connection() and self.capacity.has_room(
+            demand, is_long=is_long
+        )
+
+    def has_connection(self) -> bool:
+        """Tell whether a minion has a connection left."""
+        endpoint = self.capacity.endpoint
+        if endpoint is None or not self.capacity.is_minion:
+            return True
+        return len(self.running) < endpoint.connections
+
+    def advance(self, now: core.Instant) -> core.Actions:
+        """Start what fits and refuse what waited too long."""
+        reason = self.unavailable()
+        refusals = []
+        for item in list(self.queue):
+            why = reason
+            if item.deadline_s <= now.mono_s:
+                why = "the time for the task ended while it waited"
+            if why:
+                self.queue.remove(item)
+                refusals.append(Refusal(item.coordinator, item.start.key, why))
+        actions = self.refuse(refusals, now)
+        self.queue.sort(key=lambda item: item.start.is_long)
+        while self.queue:
+            item = self.queue[0]
+            if not self.has_connection():
+                break
+            if not self.capacity.has_room(
+                item.demand, is_long=item.start.is_long
+            ):
+                orders = self.throttle_for(item, now)
+                if not orders:
+                    break
+                actions += orders
+                continue
+            self.queue.pop(0)
+            actions.append(self.begin(item, now))
+        return actions
+
+    def begin(self, item: Queued, now: core.Instant) -> core.StartOnEndpoint:
+        """Record that a task runs and return the order to start it."""
+        start = dataclasses.replace(
+            item.start, budget_s=item.deadline_s - now.mono_s
+        )
+        self.running[start.key] = Running(
+            key=start.key,
+            coordinator=item.coordinator,
+            started_s=now.mono_s,
+        )
+        self.capacity.hold(start.key, item.demand, is_long=start.is_long)
+        return core.StartOnEndpoint(start=start)
+
+    def refuse(
+        self, refusals: list[Refusal], now: core.Instant
+    ) -> core.Actions:
+        """Record refusals for good and report them, per coordinator."""
+        grouped: dict[members.NodeId, list[tasks.TaskRefusal]]
+        grouped = collections.defaultdict(list)
+        actions: core.Actions = []
+        for item in refusals:
+            self.refused.add(item.key, now.mono_s)
+            grouped[item.coordinator].append(
+                tasks.TaskRefusal(key=item.key, reason=item.reason)
+            )
+            actions.append(
+                core.LogDecision(
+                    kind="keeper.refuse",
+                    work_id=item.key.work_id,
+                    task=str(item.key.index),
+                    reason=item.reason,
+                )
+            )
+        for coordinator, group in grouped.items():
+            message = tasks.TasksRefused(
+                refusals=tuple(group), load=self.load_for(coordinator)
+            )
+            actions.append(self.send(coordinator, message))
+        return actions
+
+    def on_not_started(
+        self,
+        run: Running,
+        error: errors.EndpointError,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Report a task that the endpoint refused as not run."""
+        actions: core.Actions = []
+        if error.failure is errors.EndpointFailure.STALE_GENERATION:
+            self.is_attached = False
+            actions.append(
+                core.LogDecision(kind="keeper.fenced", reason=error.reason)
+            )
+        if run.coordinator is not None:
+            refusal = Refusal(run.coordinator, run.key, error.reason)
+            actions += self.refuse([refusal], now)
+        return actions + self.advance(now)
+
+    # Stops, queries and acknowledgements.
+
+    def on_stop(
+        self,
+        sender: members.NodeId,
+        message: tasks.StopTasks,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Drop tasks that wait and order running ones to stop.
+
+        A key that was never seen gets a tombstone, because its start may
+        be on an older connection.
+        """
+        self.note_use(sender, now)
+        actions: core.Actions = []
+        refusals = []
+        for key in message.keys:
+            if key in self.running:
+                actions.append(
+                    core.OrderOnEndpoint(
+                        key=key, order=core.EndpointOrder.STOP
+                    )
+                )
+                continue
+            if self.drop_queued(key):
+                refusals.append(
+                    Refusal(sender, key, "stopped before it started")
+                )
+                continue
+            if not self.is_known(key):
+                self.refused.add(key, now.mono_s)
+        actions += self.refuse(refusals, now)
+        return actions + self.advance(now)
+
+    def drop_queued(self, key: tasks.TaskKey) -> bool:
+        """Remove a task from the queue; tell whether it was there."""
+        for item in self.queue:
+            if item.start.key == key:
+                self.queue.remove(item)
+                return True
+        return False
+
+    def on_query(
+        self,
+        sender: members.NodeId,
+        message: tasks.QueryTasks,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Tell what became of tasks; promise not to run unknown ones."""
+        self.note_use(sender, now)
+        statuses = [
+            self.status_of(sender, message.keeper, key, now)
+            for key in message.keys
+        ]
+        # Each result goes alone, so that a reply fits into a frame.
+        with_result = [item for item in statuses if item.result is not None]
+        without = tuple(item for item in statuses if item.result is None)
+        parts = [(item,) for item in with_result]
+        replies = ([without] if without else []) + parts
+        return [
+            self.send(
+                sender,
+                tasks.TaskStatuses(keeper=message.keeper, statuses=part),
+            )
+            for part in replies
+        ]
+
+    def status_of(
+        self,
+        sender: members.NodeId,
+        keeper: members.NodeId,
+        key: tasks.TaskKey,
+        now: core.Instant,
+    ) -> tasks.TaskStatus:
+        """Return what is known of one task, as asked of ``keeper``."""
+        kept = self.results.kept.get(key)
+        if kept is not None:
+            kept.coordinator = kept.coordinator or sender
+            return tasks.TaskStatus(
+                key=key,
+                standing=tasks.TaskStanding.DONE,
+                result=kept.result,
+            )
+        run = self.running.get(key)
+        if run is not None:
+            run.coordinator = run.coordinator or sender
+        return tasks.TaskStatus(
+            key=key, standing=self.standing_of(keeper, key, now)
+        )
+
+    def standing_of(
+        self,
+        keeper: members.NodeId,
+        key: tasks.TaskKey,
+        now: core.Instant,
+    ) -> tasks.TaskStanding:
+        """Return the standing of a task without a kept result.
+
+        An earlier incarnation of this keeper may have started the task and
+        seen its end, so this one makes no promise in its place.
+        """
+        if key in self.running:
+            return tasks.TaskStanding.RUNNING
+        if any(item.start.key == key for item in self.queue):
+            return tasks.TaskStanding.QUEUED
+        if self.finished.holds(key):
+            return tasks.TaskStanding.UNKNOWN
+        if self.refused.holds(key):
+            return tasks.TaskStanding.NEVER_SEEN
+        if keeper != self.node or self.finished.below_floor(key):
+            return tasks.TaskStanding.UNKNOWN
+        self.refused.add(key, now.mono_s)
+        return tasks.TaskStanding.NEVER_SEEN
+
+    def on_ack(
+        self, message: tasks.ResultsAck, now: core.Instant
+    ) -> core.Actions:
+        """Forget results that the coordinator has stored."""
+        for key in message.keys:
+            if self.results.remove(key):
+                self.finished.add(key, now.mono_s)
+        return []
+
+    def forget_result(self, key: tasks.TaskKey) -> None:
+        """Drop a result that nobody will acknowledge."""
+        if self.results.remove(key):
+            self.finished.add(key, self.now_s)
+
+    def resend(
+        self,
+        now: core.Instant,
+        *,
+        coordinator: members.NodeId | None = None,
+    ) -> core.Actions:
+        """Send results again that are not acknowledged."""
+        due = self.results.due(now.mono_s, coordinator=coordinator)
+        return [
+            self.results_message(node, part)
+            for node, group in due.items()
+            for part in results.batches(group)
+        ]
+
+    # Drain, long work and load.
+
+    def update_drain(self, now: core.Instant) -> core.Actions:
+        """Move the drain machine to what operator and node ask for."""
+        wanted = self.drained_by_operator or self.drained_locally
+        was_serving = self.drain.state() is drain.DrainState.SERVING
+        if not wanted:
+            self.drain.cancel()
+            return []
+        if not was_serving:
+            return []
+        self.drain.begin()
+        actions: core.Actions = [
+            core.LogDecision(
+                kind="keeper.drain",
+                reason="the endpoint takes no new work",
+            )
+        ]
+        actions += self.advance(now)
+        actions += self.checkpoint_long()
+        self.update_drained()
+        return actions
+
+    def update_drained(self) -> None:
+        """Note the end of a drain."""
+        if self.is_idle():
+            self.drain.finish()
+
+    def checkpoint_long(self) -> core.Actions:
+        """Order a checkpoint of long tasks, which go on running."""
+        if self.capacity.is_minion:
+            return []
+        return [
+            core.OrderOnEndpoint(key=key, order=core.EndpointOrder.CHECKPOINT)
+            for key, holding in self.capacity.holdings.items()
+            if holding.is_long
+        ]
+
+    def reclassify(self, now: core.Instant) -> core.Actions:
+        """Count running tasks as long once they have run for long."""
+        actions: core.Actions = []
+        limit_s = self.capacity.policy.long_task_s
+        for run in self.running.values():
+            holding = self.capacity.holdings[run.key]
+            if holding.is_long or now.mono_s - run.started_s < limit_s:
+                continue
+            holding.is_long = True
+            actions.append(
+                core.LogDecision(
+                    kind="keeper.reclassify",
+                    work_id=run.key.work_id,
+                    task=str(run.key.index),
+                    choice="long",
+                    reason=f"the task has run for more than {limit_s} s",
+                )
+            )
+        return actions
+
+    def throttle_for(self, item: Queued, now: core.Instant) -> core.Actions:
+        """Slow down long tasks so that a short task can start."""
+        if item.start.is_long or self.capacity.is_minion:
+            return []
+        self.short_waited_s = now.mono_s
+        if not self.capacity.policy.separate_long_work:
+            return []
+        actions: core.Actions = []
+        for key in throttling.to_throttle(self.capacity, item.demand):
+            self.capacity.holdings[key].is_throttled = True
+            actions.append(
+                core.OrderOnEndpoint(
+                    key=key, order=core.EndpointOrder.THROTTLE
+                )
+            )
+        return actions
+
+    def unthrottle(self, now: core.Instant) -> core.Actions:
+        """Restore throttled tasks once no short task waits."""
+        if now.mono_s - self.short_waited_s < throttling.CALM_S:
+            return []
+        actions: core.Actions = []
+        for key in throttling.to_unthrottle(self.capacity):
+            self.capacity.holdings[key].is_throttled = False
+            actions.append(
+                core.OrderOnEndpoint(
+                    key=key, order=core.EndpointOrder.UNTHROTTLE
+                )
+            )
+        return actions
+
+    def free(self) -> tuple[resources.Resources, resources.Resources]:
+        """Return what is free for any work and for long work."""
+        if self.unavailable():
+            return resources.NOTHING, resources.NOTHING
+        waiting = resources.NOTHING
+        for item in self.queue:
+            waiting = waiting + item.demand
+        free = capacity.clipped(self.capacity.free() - waiting)
+        free_long = capacity.clipped(self.capacity.free_long() - waiting)
+        return free, free_long
+
+    def note_use(self, coordinator: members.NodeId, now: core.Instant) -> None:
+        """Note that ``coordinator`` uses this keeper."""
+        informed = self.informed.get(coordinator)
+        if informed is None:
+            self.informed[coordinator] = Informed(
+                used_s=now.mono_s, sent_s=float("-inf")
+            )
+        else:
+            informed.used_s = now.mono_s
+
+    def report_load(self, now: core.Instant) -> core.Actions:
+        """Tell recent coordinators of capacity that changed silently.
+
+        A coordinator that was told of no capacity hears at once that there
+        is some; other changes are reported once a second.
+        """
+        limit_s = now.mono_s - COORDINATOR_LIMIT_S
+        actions: core.Actions = []
+        free, free_long = self.free()
+        for coordinator, informed in list(self.informed.items()):
+            if informed.used_s < limit_s:
+                del self.informed[coordinator]
+                continue
+            if (informed.free, informed.free_long) == (free, free_long):
+                continue
+            was_full = is_used_up(informed.free) and not is_used_up(free)
+            if not was_full and now.mono_s - informed.sent_s < LOAD_REPORT_S:
+                continue
+            message = tasks.LoadReport(
+                keeper=self.node, load=self.load_for(coordinator)
+            )
+            actions.append(self.send(coordinator, message))
+        return actions
+
+    # Messages.
+
+    def load_for(self, coordinator: members.NodeId) -> members.Load:
+        """Return the load and note that ``coordinator`` is told of it."""
+        load = self.load()
+        informed = self.informed.get(coordinator)
+        if informed is not None:
+            informed.sent_s = self.now_s
+            informed.free = load.free
+            informed.free_long = load.free_long
+        return load
+
+    def results_message(
+        self,
+        coordinator: members.NodeId,
+        group: tuple[tasks.TaskResult, ...],
+    ) -> core.Send:
+        """Return the message with ``group`` and the current load."""
+        message = tasks.TaskResults(
+            keeper=self.node,
+            results=group,
+            load=self.load_for(coordinator),
+        )
+        return self.send(coordinator, message)
+
+    def send(self, to: members.NodeId, message: object) -> core.Send:
+        """Return the action that sends ``message``."""
+        address = self.addresses.get(to, UNKNOWN_ADDRESS)
+        return core.Send(to=to, address=address, message=message)
+
+
+def is_used_up(free: resources.Resources) -> bool:
+    """Tell whether neither a slot nor a core is free."""
+    return free.slots < 1.0 and free.cores <= 0.0
