--- /dev/null
+++ b/src/_jasminewind/api/backend.py
@@ -0,0 +1,82 @@
+"""What the services need of the entry around them."""
+
+import abc
+import dataclasses
+
+import result
+from twisted.internet import defer
+
+from _jasminewind import changes
+from _jasminewind import configuration
+from _jasminewind import members
+from _jasminewind.decisions import core
+from _jasminewind.messages import work
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Readiness:
+    """Whether the entry takes work; ``reason`` says why not."""
+
+    ready: bool
+    reason: str = ""
+
+
+ProposeResult = result.Result[changes.ConfigAccepted, changes.ConfigRefusal]
+
+
+class Backend(abc.ABC):
+    """The entry as the services see it.
+
+    No method raises. A ``Deferred`` that fires with a failure is reported
+    to the caller as an internal error that may have run.
+    """
+
+    @abc.abstractmethod
+    def submit(self, submit: work.Submit) -> defer.Deferred[work.Answer]:
+        """Forward a job or a request; fire with its answer."""
+
+    @abc.abstractmethod
+    def cancel(self, work_id: str) -> None:
+        """Tell the owner that nobody waits for the answer any more."""
+
+    @abc.abstractmethod
+    def query(self, work_id: str) -> defer.Deferred[work.WorkStatus]:
+        """Fire with the state; ``UNKNOWN`` when no process knows it."""
+
+    @abc.abstractmethod
+    def explain(self, work_id: str) -> defer.Deferred[work.ExplainReply]:
+        """Fire with the recent decisions, empty when there are none."""
+
+    @abc.abstractmethod
+    def config(self) -> configuration.Configuration:
+        """Return the configuration in force."""
+
+    @abc.abstractmethod
+    def propose(
+        self, change: changes.ConfigChange
+    ) -> defer.Deferred[ProposeResult]:
+        """Make a change; the services have applied it to `config()`."""
+
+    @abc.abstractmethod
+    def wait_config(
+        self, after_version: int, timeout_s: float
+    ) -> defer.Deferred[configuration.Configuration]:
+        """Fire with a newer configuration, or at the timeout as it is."""
+
+    @abc.abstractmethod
+    def members(self) -> tuple[members.Member, ...]:
+        """Return the live members of all cells."""
+
+    @abc.abstractmethod
+    def release_shard(
+        self, shard: int
+    ) -> defer.Deferred[result.Result[None, str]]:
+        """Close a shard's row; the error is a sentence."""
+
+    @abc.abstractmethod
+    def is_ready(self) -> Readiness:
+        """Tell whether the entry is fresh and not shutting down."""
+
+    @abc.abstractmethod
+    def now(self) -> core.Instant:
+        """Return the current instant."""
--- /dev/null
+++ b/src/_jasminewind/api/pb/__init__.py
@@ -0,0 +1,1 @@
+"""Generated from `schema/`; regenerate with `make schema`."""
--- a/src/_jasminewind/errors.py
+++ b/src/_jasminewind/errors.py
@@ -16,6 +16,7 @@
     """Error codes of the Connect protocol that this system uses."""
 
     CANCELED = "canceled"
+    UNKNOWN = "unknown"
     INVALID_ARGUMENT = "invalid_argument"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     NOT_FOUND = "not_found"
@@ -23,6 +24,7 @@
     RESOURCE_EXHAUSTED = "resource_exhausted"
     FAILED_PRECONDITION = "failed_precondition"
     ABORTED = "aborted"
+    UNIMPLEMENTED = "unimplemented"
     UNAVAILABLE = "unavailable"
     INTERNAL = "internal"
 
