--- /dev/null
+++ b/src/_jasminewind/api/channel.py
@@ -0,0 +1,164 @@
+"""HTTP connections of callers: size and time limits while reading."""
+
+import collections.abc
+import typing
+
+from twisted.internet import interfaces
+from twisted.web import http
+from twisted.web import resource
+from twisted.web import server
+
+from _jasminewind import errors
+from _jasminewind import timers
+from _jasminewind.api import connect
+
+READ_LIMIT_S = 10.0
+IDLE_LIMIT_S = 120.0
+# After an early error the rest of the body is discarded for this long,
+# since closing with unread data would destroy the error on its way.
+LINGER_S = 1.0
+
+
+def early_response(error: connect.CallError) -> bytes:
+    """Return the bytes of a response sent before the body has been read."""
+    body = connect.encode_error(error)
+    reason = http.RESPONSES.get(error.status, b"Error").decode()
+    head = (
+        f"HTTP/1.1 {error.status} {reason}\r\n"
+        f"Content-Type: {connect.CONTENT_TYPE}\r\n"
+        f"Content-Length: {len(body)}\r\n"
+        "Connection: close\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+class LimitedRequest(server.Request):
+    """A request whose body is bounded while it arrives."""
+
+    received_bytes = 0
+
+    # The names of the methods are twisted's.
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Refuse a declared length above the limit."""
+        super().gotLength(length)
+        if length is not None:
+            self.limit(length)
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Store a part of the body, unless it grows above the limit."""
+        self.received_bytes += len(data)
+        if not self.limit(self.received_bytes):
+            super().handleContentChunk(data)
+
+    def limit(self, size: int) -> bool:
+        """Refuse the body if ``size`` is above the limit."""
+        channel = typing.cast(LimitedChannel, self.channel)
+        if channel.is_refused:
+            return True
+        most = typing.cast(ApiSite, channel.site).max_body_bytes()
+        if size <= most:
+            return False
+        channel.refuse(
+            connect.failure(
+                f"the body has {size} bytes or more, at most {most}; send "
+                "smaller payloads or fewer tasks",
+                code=errors.Code.RESOURCE_EXHAUSTED,
+            )
+        )
+        return True
+
+
+class LimitedChannel(http.HTTPChannel):
+    """A connection on which each request must arrive within a limit."""
+
+    site: server.Site
+    is_refused = False
+    is_reading = False
+    read_timer: timers.DelayedCall | None = None
+    linger_timer: timers.DelayedCall | None = None
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Start the read limit with the first byte of a request."""
+        if self.is_refused:
+            return
+        if not self.is_reading and not self._handlingRequest:
+            self.is_reading = True
+            # The idle timeout starts again with each byte, so a sender of
+            # one byte a minute would hold a connection for ever.
+            self.read_timer = self.callLater(READ_LIMIT_S, self.expire)
+        super().dataReceived(data)
+
+    def allContentReceived(self) -> None:  # noqa: N802
+        """End the read limit, and handle the request."""
+        if self.is_refused:
+            return
+        self.stop_reading()
+        super().allContentReceived()
+
+    def connectionLost(self, reason: typing.Any = None) -> None:  # noqa: N802
+        """Stop the timers."""
+        self.stop_reading()
+        if self.linger_timer is not None and self.linger_timer.active():
+            self.linger_timer.cancel()
+        super().connectionLost(reason)
+
+    def stop_reading(self) -> None:
+        """Stop the read limit."""
+        self.is_reading = False
+        if self.read_timer is not None and self.read_timer.active():
+            self.read_timer.cancel()
+        self.read_timer = None
+
+    def expire(self) -> None:
+        """Refuse a request that did not arrive in time."""
+        self.refuse(
+            connect.failure(
+                f"the request did not arrive within {READ_LIMIT_S:g} s; send "
+                "it again on a faster connection",
+                code=errors.Code.DEADLINE_EXCEEDED,
+            )
+        )
+
+    def refuse(self, error: connect.CallError) -> None:
+        """Answer before the request was read, and close the connection."""
+        if self.is_refused or self.transport is None:
+            return
+        self.is_refused = True
+        self.stop_reading()
+        transport = typing.cast(typing.Any, self.transport)
+        transport.write(early_response(error))
+        if interfaces.IHalfCloseableDescriptor.providedBy(transport):
+            transport.loseWriteConnection()
+        self.linger_timer = self.callLater(LINGER_S, self.finish_refusal)
+
+    def finish_refusal(self) -> None:
+        """Close the connection after an early error."""
+        if self.transport is not None:
+            typing.cast(typing.Any, self.transport).loseConnection()
+
+
+class ApiSite(server.Site):
+    """Accepts callers; ``max_body_bytes`` is read for each request."""
+
+    # HTTP/2 is not offered, so twisted's protocol switch is not needed.
+    protocol = typing.cast(typing.Any, LimitedChannel)
+
+    def __init__(
+        self,
+        root: resource.IResource,
+        *,
+        max_body_bytes: collections.abc.Callable[[], int],
+        reactor: typing.Any = None,
+    ) -> None:
+        super().__init__(
+            root,
+            requestFactory=LimitedRequest,
+            timeout=IDLE_LIMIT_S,
+            reactor=reactor,
+        )
+        self.max_body_bytes = max_body_bytes
+        self.displayTracebacks = False
+
+    def log(self, request: http.Request) -> None:
+        """Write no access log; the decision log tells what happened."""
+        del request
--- /dev/null
+++ b/src/_jasminewind/api/configs.py
@@ -0,0 +1,238 @@
+"""ConfigService: read, change and watch the configuration."""
+
+import math
+
+import result
+
+from _jasminewind import changes
+from _jasminewind import configuration
+from _jasminewind import errors
+from _jasminewind.api import backend as backends
+from _jasminewind.api import calls
+from _jasminewind.api import connect
+from _jasminewind.api import convert
+from _jasminewind.api import submissions
+from _jasminewind.api.pb import config_pb2
+from _jasminewind.api.pb import errors_pb2
+
+MAX_WATCH_S = 30.0
+# An entry that is behind has the newer version within this time.
+CATCH_UP_S = 2.0
+PROPOSE_LIMIT_S = 10.0
+
+Proposed = result.Result[int, connect.CallError]
+
+
+class Proposals:
+    """Makes configuration changes, for all services that need one."""
+
+    def __init__(self, shared: submissions.Submissions) -> None:
+        self.shared = shared
+        self.backend: backends.Backend = shared.backend
+
+    def new_change_id(self) -> str:
+        """Return an id for a change that came without one."""
+        return self.shared.new_id()
+
+    async def catch_up(self, version: int) -> configuration.Configuration:
+        """Return the configuration, waiting until it has ``version``."""
+        config = self.backend.config()
+        if config.version >= version:
+            return config
+        waiting = self.backend.wait_config(version - 1, CATCH_UP_S)
+        await calls.within(self.shared.clock, waiting, CATCH_UP_S)
+        return self.backend.config()
+
+    async def propose(self, change: changes.ConfigChange) -> Proposed:
+        """Make a change and return the version with it."""
+        config = await self.catch_up(change.expected_version)
+        if change.change_id in config.change_ids:
+            return result.Ok(config.version)
+        if change.expected_version != config.version:
+            return result.Err(stale(change, config))
+        applied = changes.apply(config, change)
+        if isinstance(applied, result.Err):
+            error = applied.err_value
+            return result.Err(connect.failure(error.reason, field=error.field))
+        source = self.backend.propose(change)
+        made = await calls.within(self.shared.clock, source, PROPOSE_LIMIT_S)
+        if isinstance(made, calls.TimedOut):
+            reason = f"no outcome within {PROPOSE_LIMIT_S:g} s"
+            unknown = changes.ConfigUnknown(reason=reason)
+            return result.Err(refusal_error(change, unknown))
+        if isinstance(made, result.Err):
+            return result.Err(refusal_error(change, made.err_value))
+        return result.Ok(made.ok_value.version)
+
+
+def stale(
+    change: changes.ConfigChange, config: configuration.Configuration
+) -> connect.CallError:
+    """Return the error for a change based on another version."""
+    winner = config.change_ids[-1] if config.change_ids else ""
+    return refusal_error(
+        change,
+        changes.ConfigConflict(
+            version=config.version, change_id=winner, author=config.author
+        ),
+    )
+
+
+def refusal_error(
+    change: changes.ConfigChange, refusal: changes.ConfigRefusal
+) -> connect.CallError:
+    """Return the error for a change that is not in force."""
+    match refusal:
+        case changes.ConfigConflict(
+            version=version, change_id=change_id, author=author
+        ):
+            error = connect.failure(
+                f"version {version} is in force, by change {change_id!r} of "
+                f"{author!r}, and the change is for version "
+                f"{change.expected_version}; read the configuration and "
+                "propose again",
+                code=errors.Code.ABORTED,
+                field="expected_version",
+            )
+            conflict = errors_pb2.ConflictDetail(
+                version=version, change_id=change_id, author=author
+            )
+            return connect.CallError(
+                code=error.code,
+                message=error.message,
+                details=(*error.details, conflict),
+            )
+        case changes.ConfigUnavailable(reason=reason):
+            return connect.failure(
+                f"the change was not made: {reason}; propose it again later",
+                code=errors.Code.UNAVAILABLE,
+            )
+        case changes.ConfigUnknown(reason=reason):
+            return connect.failure(
+                f"the change may have been made: {reason}; propose it again "
+                f"with the same change id {change.change_id!r}, which is "
+                "applied once",
+                code=errors.Code.UNKNOWN,
+                outcome=errors.Outcome.MAY_HAVE_RUN,
+            )
+
+
+class ConfigService:
+    """The configuration, as operators read and change it."""
+
+    name = "jasminewind.v1.ConfigService"
+
+    def __init__(
+        self, shared: submissions.Submissions, proposals: Proposals
+    ) -> None:
+        self.shared = shared
+        self.proposals = proposals
+
+    def methods(self) -> dict[str, calls.Method]:
+        """Return the methods by name."""
+        return {
+            "GetConfig": calls.Method(
+                request=config_pb2.GetConfigRequest, handler=self.get_config
+            ),
+            "ProposeChange": calls.Method(
+                request=config_pb2.ProposeChangeRequest,
+                handler=self.propose_change,
+                limits_itself=True,
+            ),
+            "ListChanges": calls.Method(
+                request=config_pb2.ListChangesRequest,
+                handler=self.list_changes,
+            ),
+            "WatchConfig": calls.Method(
+                request=config_pb2.WatchConfigRequest,
+                handler=self.watch_config,
+            ),
+        }
+
+    async def get_config(
+        self, request: config_pb2.GetConfigRequest, context: calls.CallContext
+    ) -> calls.Reply:
+        """Return the configuration in force."""
+        del request, context
+        config = self.shared.backend.config()
+        return result.Ok(
+            config_pb2.GetConfigResponse(
+                config=convert.configuration_message(config)
+            )
+        )
+
+    async def propose_change(
+        self,
+        request: config_pb2.ProposeChangeRequest,
+        context: calls.CallContext,
+    ) -> calls.Reply:
+        """Make one change."""
+        del context
+        current = self.shared.backend.config()
+        operation = convert.operation(request, current)
+        if operation is None:
+            return result.Err(
+                connect.failure(
+                    "names no operation; give one of set_team, remove_team, "
+                    "set_service, remove_service, set_policy, set_limits, "
+                    "drain, undrain, replace_all",
+                    field="operation",
+                )
+            )
+        change = changes.ConfigChange(
+            change_id=request.change_id or self.proposals.new_change_id(),
+            expected_version=request.expected_version,
+            author=request.author,
+            operation=operation,
+        )
+        made = await self.proposals.propose(change)
+        return made.map(
+            lambda version: config_pb2.ProposeChangeResponse(
+                change_id=change.change_id, version=version
+            )
+        )
+
+    async def list_changes(
+        self,
+        request: config_pb2.ListChangesRequest,
+        context: calls.CallContext,
+    ) -> calls.Reply:
+        """Return the ids of the last changes."""
+        del request, context
+        config = self.shared.backend.config()
+        return result.Ok(
+            config_pb2.ListChangesResponse(
+                version=config.version,
+                change_ids=config.change_ids,
+                author=config.author,
+            )
+        )
+
+    async def watch_config(
+        self,
+        request: config_pb2.WatchConfigRequest,
+        context: calls.CallContext,
+    ) -> calls.Reply:
+        """Wait for a newer configuration, for a bounded time."""
+        limit_s = request.timeout_s
+        if not (math.isfinite(limit_s) and 0 <= limit_s <= MAX_WATCH_S):
+            return result.Err(
+                connect.failure(
+                    f"is {limit_s:g}, need seconds from 0 to {MAX_WATCH_S:g}",
+                    field="timeout_s",
+                )
+            )
+        if context.timeout_s is not None:
+            limit_s = min(limit_s, context.timeout_s)
+        after = request.after_version
+        if self.shared.backend.config().version <= after:
+            waiting = self.shared.backend.wait_config(after, limit_s)
+            await calls.within(self.shared.clock, waiting, limit_s)
+        config = self.shared.backend.config()
+        if config.version <= after:
+            return result.Ok(config_pb2.WatchConfigResponse(changed=False))
+        return result.Ok(
+            config_pb2.WatchConfigResponse(
+                changed=True, config=convert.configuration_message(config)
+            )
+        )
--- /dev/null
+++ b/src/_jasminewind/api/connect.py
@@ -0,0 +1,297 @@
+"""The unary JSON form of the Connect protocol: headers, bodies, errors."""
+
+import base64
+import collections.abc
+import dataclasses
+import difflib
+import json
+import math
+import re
+import typing
+
+import result
+from google.protobuf import json_format
+from google.protobuf import message as protobuf
+
+from _jasminewind import errors
+from _jasminewind.api.pb import errors_pb2
+
+CONTENT_TYPE = "application/json"
+PROTOCOL_VERSION = "1"
+TIMEOUT_HEADER = "Connect-Timeout-Ms"
+VERSION_HEADER = "Connect-Protocol-Version"
+MAX_TIMEOUT_DIGITS = 10
+# Protobuf keeps JSON numbers as doubles, which lose larger integers.
+MAX_INTEGER = 1 << 53
+MAX_INTEGER_DIGITS = 40
+MAX_JSON_DEPTH = 90
+
+HTTP_STATUS = {
+    errors.Code.CANCELED: 499,
+    errors.Code.UNKNOWN: 500,
+    errors.Code.INVALID_ARGUMENT: 400,
+    errors.Code.DEADLINE_EXCEEDED: 504,
+    errors.Code.NOT_FOUND: 404,
+    errors.Code.ALREADY_EXISTS: 409,
+    errors.Code.RESOURCE_EXHAUSTED: 429,
+    errors.Code.FAILED_PRECONDITION: 400,
+    errors.Code.ABORTED: 409,
+    errors.Code.UNIMPLEMENTED: 501,
+    errors.Code.INTERNAL: 500,
+    errors.Code.UNAVAILABLE: 503,
+}
+
+UNKNOWN_FIELD = re.compile(
+    r'has no field named "(?P<name>[^"]*)" at "[^".]*\.?(?P<path>[^"]*)"'
+)
+AVAILABLE_FIELDS = re.compile(r"Available Fields[^:]*: \"(?P<names>.*)\"")
+ROOT_PATH = re.compile(r"\b[A-Z]\w*(?:Request|Response)\.")
+KNOWN_NAME = re.compile(r"'(\w+)'")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallError:
+    """An error of a remote call, with its typed details.
+
+    ``http_status`` is 0 unless it differs from the code's own status.
+    """
+
+    code: errors.Code
+    message: str
+    details: tuple[protobuf.Message, ...] = ()
+    http_status: int = 0
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status of the response."""
+        return self.http_status or HTTP_STATUS[self.code]
+
+
+M = typing.TypeVar("M", bound=protobuf.Message)
+
+
+def failure(
+    reason: str,
+    *,
+    code: errors.Code = errors.Code.INVALID_ARGUMENT,
+    outcome: errors.Outcome = errors.Outcome.NOT_RUN,
+    field: str = "",
+    work_id: str = "",
+) -> CallError:
+    """Return an error with a ``FailureDetail``.
+
+    ``reason`` says what is wrong and what to do. ``field`` is the path of
+    the input field that was refused.
+    """
+    detail = errors_pb2.FailureDetail(
+        outcome=errors_pb2.Outcome.Value(outcome.value),
+        reason=reason,
+        work_id=work_id,
+        field=field,
+    )
+    text = f"{field}: {reason}" if field else reason
+    return CallError(code=code, message=text, details=(detail,))
+
+
+def encode_error(error: CallError) -> bytes:
+    """Return the JSON body of an error response."""
+    body: dict[str, typing.Any] = {
+        "code": error.code.value,
+        "message": error.message,
+    }
+    if error.details:
+        body["details"] = [encode_detail(d) for d in error.details]
+    return json.dumps(body).encode()
+
+
+def encode_detail(detail: protobuf.Message) -> dict[str, typing.Any]:
+    """Return the JSON form of one error detail."""
+    value = base64.b64encode(detail.SerializeToString()).decode()
+    return {
+        "type": detail.DESCRIPTOR.full_name,
+        # The Connect protocol omits the padding.
+        "value": value.rstrip("="),
+        "debug": json_format.MessageToDict(detail),
+    }
+
+
+def encode(message: protobuf.Message) -> bytes:
+    """Return the JSON body of a successful response.
+
+    Fields that have their default value are written, so that a reader of
+    the JSON need not know the schema.
+    """
+    body = json_format.MessageToDict(
+        message, always_print_fields_with_no_presence=True
+    )
+    return json.dumps(body, ensure_ascii=False).encode()
+
+
+def decode(body: bytes, kind: type[M]) -> result.Result[M, CallError]:
+    """Return the message in a request body."""
+    parsed = parse_json(body)
+    if isinstance(parsed, result.Err):
+        return result.Err(parsed.err_value)
+    message = kind()
+    try:
+        json_format.ParseDict(
+            parsed.ok_value, message, max_recursion_depth=MAX_JSON_DEPTH
+        )
+    except (json_format.Error, ValueError, TypeError, RecursionError) as e:
+        return result.Err(explain_mismatch(str(e)))
+    return result.Ok(message)
+
+
+def parse_json(
+    body: bytes,
+) -> result.Result[dict[str, typing.Any], CallError]:
+    """Return the JSON object in ``body``, strictly parsed.
+
+    Repeated names, NaN, infinite numbers and integers that a double
+    cannot hold are errors, since each would silently change the input.
+    """
+    try:
+        # An empty body stands for a message without fields.
+        parsed = json.loads(
+            body.decode() or "{}",
+            object_pairs_hook=unique_pairs,
+            parse_constant=refuse_constant,
+            parse_int=exact_integer,
+            parse_float=finite_number,
+        )
+    except UnicodeDecodeError as e:
+        return result.Err(malformed(f"not UTF-8 at byte {e.start}"))
+    except json.JSONDecodeError as e:
+        return result.Err(
+            malformed(f"{e.msg} at line {e.lineno} column {e.colno}")
+        )
+    except RecursionError:
+        return result.Err(malformed("nested too deeply"))
+    except ValueError as e:
+        return result.Err(malformed(str(e)))
+    if not isinstance(parsed, dict):
+        return result.Err(malformed("need a JSON object"))
+    return result.Ok(parsed)
+
+
+def malformed(reason: str) -> CallError:
+    """Return the error for a body that is not the JSON that we need."""
+    return failure(f"malformed body: {reason}")
+
+
+def unique_pairs(
+    pairs: list[tuple[str, typing.Any]],
+) -> dict[str, typing.Any]:
+    """Return the pairs of an object; raise on a repeated name."""
+    found = dict(pairs)
+    if len(found) != len(pairs):
+        names = [name for name, _ in pairs]
+        repeated = next(n for n in names if names.count(n) > 1)
+        raise ValueError(f"the name {repeated[:64]!r} is repeated")
+    return found
+
+
+def refuse_constant(text: str) -> typing.NoReturn:
+    """Raise for ``NaN`` and infinite numbers, which JSON does not have."""
+    raise ValueError(f"{text} is not a JSON number")
+
+
+def exact_integer(text: str) -> int:
+    """Return an integer that a double holds exactly."""
+    value = int(text) if len(text) <= MAX_INTEGER_DIGITS else None
+    if value is None or abs(value) > MAX_INTEGER:
+        raise ValueError(
+            f"integer {text[:MAX_INTEGER_DIGITS]} is beyond 2^53; send it as "
+            "a string"
+        )
+    return value
+
+
+def finite_number(text: str) -> float:
+    """Return a number that a double can hold."""
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(f"number {text[:64]} is too large")
+    return value
+
+
+def explain_mismatch(text: str) -> CallError:
+    """Return the error for JSON that does not fit the message type."""
+    unknown = UNKNOWN_FIELD.search(text)
+    if unknown is None:
+        first = text.splitlines()[0] if text else "does not fit the schema"
+        first = ROOT_PATH.sub("", first)
+        return malformed(first[:500])
+    name = unknown["name"]
+    path = unknown["path"]
+    available = AVAILABLE_FIELDS.search(text)
+    known = KNOWN_NAME.findall(available["names"]) if available else []
+    return failure(
+        f"unknown field{suggestion(name, known)}",
+        field=f"{path}.{name}"[:200] if path else name[:200],
+    )
+
+
+def suggestion(name: str, known: collections.abc.Sequence[str]) -> str:
+    """Return "; did you mean ...?" when a known name is close."""
+    near = difflib.get_close_matches(name, known, n=1)
+    if near:
+        return f"; did you mean {near[0]!r}?"
+    return f"; known: {', '.join(sorted(known)[:20])}" if known else ""
+
+
+def parse_timeout(text: str | None) -> result.Result[float | None, CallError]:
+    """Return the seconds in a ``Connect-Timeout-Ms`` header."""
+    if text is None:
+        return result.Ok(None)
+    if not (text.isascii() and text.isdigit()):
+        return result.Err(
+            failure(
+                f"{text[:32]!r} is not a whole number of milliseconds",
+                field=TIMEOUT_HEADER,
+            )
+        )
+    if len(text) > MAX_TIMEOUT_DIGITS:
+        return result.Err(
+            failure(
+                f"has more than {MAX_TIMEOUT_DIGITS} digits",
+                field=TIMEOUT_HEADER,
+            )
+        )
+    return result.Ok(int(text) / 1000.0)
+
+
+def check_content_type(text: str | None) -> CallError | None:
+    """Return the error unless the content type is JSON in UTF-8."""
+    kind, _, parameters = (text or "").partition(";")
+    charset = parameters.strip().lower().removeprefix("charset=").strip('"')
+    if kind.strip().lower() == CONTENT_TYPE and charset in ("", "utf-8"):
+        return None
+    return dataclasses.replace(
+        failure(
+            f"{(text or '')[:64]!r} is not supported; send {CONTENT_TYPE}",
+            field="Content-Type",
+        ),
+        http_status=415,
+    )
+
+
+def check_encoding(text: str | None) -> CallError | None:
+    """Return the error unless the body is not compressed."""
+    if text is None or text.strip().lower() == "identity":
+        return None
+    return failure(
+        f"{text[:32]!r} is not supported; send the body uncompressed",
+        code=errors.Code.UNIMPLEMENTED,
+        field="Content-Encoding",
+    )
+
+
+def check_version(text: str | None) -> CallError | None:
+    """Return the error for another version of the Connect protocol."""
+    if text is None or text.strip() == PROTOCOL_VERSION:
+        return None
+    return failure(
+        f"{text[:32]!r} is not supported; send {PROTOCOL_VERSION!r}",
+        field=VERSION_HEADER,
+    )
--- /dev/null
+++ b/src/_jasminewind/api/convert.py
@@ -0,0 +1,143 @@
+"""Conversion between the schema's messages and the configuration."""
+
+import collections.abc
+import dataclasses
+import typing
+
+from google.protobuf import message as protobuf
+
+from _jasminewind import changes
+from _jasminewind import configuration
+from _jasminewind.api.pb import config_pb2
+
+
+def given(
+    message: protobuf.Message, names: collections.abc.Iterable[str]
+) -> dict[str, typing.Any]:
+    """Return the named optional fields that are set.
+
+    The others keep the defaults of :mod:`_jasminewind.configuration`.
+    """
+    return {n: getattr(message, n) for n in names if message.HasField(n)}
+
+
+def field_names(kind: type) -> tuple[str, ...]:
+    """Return the field names of a data class."""
+    return tuple(f.name for f in dataclasses.fields(kind))
+
+
+TEAM_FIELDS = ("max_in_flight", "starts_per_s", "weight")
+POLICY_FIELDS = field_names(configuration.Policy)
+LIMITS_FIELDS = field_names(configuration.Limits)
+
+
+def team(message: config_pb2.Team) -> configuration.Team:
+    """Return a team of the schema as the decisions know it."""
+    return configuration.Team(name=message.name, **given(message, TEAM_FIELDS))
+
+
+def service(message: config_pb2.Service) -> configuration.Service:
+    """Return a service of the schema as the decisions know it."""
+    return configuration.Service(
+        name=message.name,
+        methods=tuple(
+            configuration.Method(
+                name=m.name,
+                repeatable=m.repeatable,
+                expected_s=m.expected_s,
+            )
+            for m in message.methods
+        ),
+    )
+
+
+def policy(message: config_pb2.Policy) -> configuration.Policy:
+    """Return a policy of the schema as the decisions know it."""
+    return configuration.Policy(**given(message, POLICY_FIELDS))
+
+
+def limits(message: config_pb2.Limits) -> configuration.Limits:
+    """Return limits of the schema as the decisions know them."""
+    return configuration.Limits(**given(message, LIMITS_FIELDS))
+
+
+def configuration_from(
+    message: config_pb2.Configuration, current: configuration.Configuration
+) -> configuration.Configuration:
+    """Return a whole configuration; counts left out stay as they are."""
+    counts = given(message, ("shard_count", "cell_count"))
+    return configuration.Configuration(
+        teams=tuple(team(t) for t in message.teams),
+        services=tuple(service(s) for s in message.services),
+        policy=policy(message.policy),
+        limits=limits(message.limits),
+        drained=tuple(message.drained),
+        shard_count=counts.get("shard_count", current.shard_count),
+        cell_count=counts.get("cell_count", current.cell_count),
+    )
+
+
+def team_message(value: configuration.Team) -> config_pb2.Team:
+    """Return a team as a message of the schema."""
+    return config_pb2.Team(**dataclasses.asdict(value))
+
+
+def configuration_message(
+    value: configuration.Configuration,
+) -> config_pb2.Configuration:
+    """Return a configuration as a message of the schema."""
+    return config_pb2.Configuration(
+        version=value.version,
+        author=value.author,
+        teams=[team_message(t) for t in value.teams],
+        services=[service_message(s) for s in value.services],
+        policy=config_pb2.Policy(**dataclasses.asdict(value.policy)),
+        limits=config_pb2.Limits(**dataclasses.asdict(value.limits)),
+        drained=value.drained,
+        shard_count=value.shard_count,
+        cell_count=value.cell_count,
+    )
+
+
+def service_message(value: configuration.Service) -> config_pb2.Service:
+    """Return a service as a message of the schema."""
+    return config_pb2.Service(
+        name=value.name,
+        methods=[
+            config_pb2.Method(
+                name=m.name,
+                repeatable=m.repeatable,
+                expected_s=m.expected_s,
+            )
+            for m in value.methods
+        ],
+    )
+
+
+def operation(
+    request: config_pb2.ProposeChangeRequest,
+    current: configuration.Configuration,
+) -> changes.Operation | None:
+    """Return the operation of a proposed change, ``None`` without one."""
+    match request.WhichOneof("operation"):
+        case "set_team":
+            return changes.SetTeam(team=team(request.set_team))
+        case "remove_team":
+            return changes.RemoveTeam(name=request.remove_team)
+        case "set_service":
+            return changes.SetService(service=service(request.set_service))
+        case "remove_service":
+            return changes.RemoveService(name=request.remove_service)
+        case "set_policy":
+            return changes.SetPolicy(policy=policy(request.set_policy))
+        case "set_limits":
+            return changes.SetLimits(limits=limits(request.set_limits))
+        case "drain":
+            return changes.DrainEndpoint(name=request.drain)
+        case "undrain":
+            return changes.UndrainEndpoint(name=request.undrain)
+        case "replace_all":
+            return changes.ReplaceAll(
+                config=configuration_from(request.replace_all, current)
+            )
+    return None
--- /dev/null
+++ b/src/_jasminewind/api/jobs.py
@@ -0,0 +1,150 @@
+"""JobService: submit, get and cancel jobs."""
+
+import result
+
+from _jasminewind import errors
+from _jasminewind import ids
+from _jasminewind.api import calls
+from _jasminewind.api import connect
+from _jasminewind.api import submissions
+from _jasminewind.api import validation
+from _jasminewind.api.pb import errors_pb2
+from _jasminewind.api.pb import work_pb2
+from _jasminewind.messages import work
+
+
+class JobService:
+    """Jobs of several tasks, which run on workers."""
+
+    name = "jasminewind.v1.JobService"
+
+    def __init__(self, shared: submissions.Submissions) -> None:
+        self.shared = shared
+
+    def methods(self) -> dict[str, calls.Method]:
+        """Return the methods by name."""
+        return {
+            "SubmitJob": calls.Method(
+                request=work_pb2.SubmitJobRequest,
+                handler=self.submit_job,
+                limits_itself=True,
+            ),
+            "GetJob": calls.Method(
+                request=work_pb2.GetJobRequest, handler=self.get_job
+            ),
+            "CancelJob": calls.Method(
+                request=work_pb2.CancelJobRequest, handler=self.cancel_job
+            ),
+        }
+
+    async def submit_job(
+        self, request: work_pb2.SubmitJobRequest, context: calls.CallContext
+    ) -> calls.Reply:
+        """Run a job and return its whole answer."""
+        checked = validation.submit_job(
+            request,
+            config=self.shared.backend.config(),
+            wall_ms=self.shared.backend.now().wall_ms,
+            timeout_s=context.timeout_s,
+            body_bytes=context.body_bytes,
+            new_id=self.shared.new_id,
+        )
+        allowed = await self.shared.check(checked, client_id=request.id)
+        if isinstance(allowed, result.Err):
+            return result.Err(allowed.err_value)
+        submit = allowed.ok_value
+        if request.detach:
+            accepted = await self.shared.accept(submit)
+            return accepted.map(
+                lambda state: work_pb2.SubmitJobResponse(
+                    id=submit.work_id, state=state_value(state)
+                )
+            )
+        answer = await self.shared.run(submit)
+        return answer.map(
+            lambda a: work_pb2.SubmitJobResponse(
+                id=a.work_id,
+                state=state_value(a.state),
+                outputs=outputs(a),
+            )
+        )
+
+    async def get_job(
+        self, request: work_pb2.GetJobRequest, context: calls.CallContext
+    ) -> calls.Reply:
+        """Return the state of a job, and its answer once it ended."""
+        del context
+        error = validation.work_id_error(
+            request.id, wall_ms=self.shared.backend.now().wall_ms
+        )
+        if error is not None:
+            return result.Err(error)
+        work_id = ids.parse(request.id).unwrap()
+        looked = await self.shared.look(work_id, submissions.QUERY_LIMIT_S)
+        if isinstance(looked, result.Err):
+            return result.Err(looked.err_value)
+        status = looked.ok_value
+        if status.state is work.WorkState.UNKNOWN:
+            return result.Err(unknown_id(status))
+        return result.Ok(get_response(status))
+
+    async def cancel_job(
+        self, request: work_pb2.CancelJobRequest, context: calls.CallContext
+    ) -> calls.Reply:
+        """Cancel a job; cancelling a job that has ended does nothing."""
+        del context
+        error = self.shared.cancel(request.id)
+        if error is not None:
+            return result.Err(error)
+        return result.Ok(work_pb2.CancelJobResponse())
+
+
+def unknown_id(status: work.WorkStatus) -> connect.CallError:
+    """Return the error for an id that no process knows."""
+    return connect.failure(
+        "no process knows this id; it was not submitted, or it ended more "
+        "than 10 min ago, or its owner was replaced; submit it again with "
+        "the same id, which never runs a task twice",
+        code=errors.Code.NOT_FOUND,
+        outcome=errors.Outcome.MAY_HAVE_RUN,
+        field="id",
+        work_id=status.work_id,
+    )
+
+
+def get_response(status: work.WorkStatus) -> work_pb2.GetJobResponse:
+    """Return the state of a job as a message."""
+    response = work_pb2.GetJobResponse(
+        id=status.work_id,
+        state=state_value(status.state),
+        tasks_total=status.tasks_total,
+        tasks_done=status.tasks_done,
+    )
+    answer = status.answer
+    if answer is None:
+        return response
+    if answer.state is work.WorkState.COMPLETE:
+        response.outputs.extend(outputs(answer))
+    else:
+        detail = submissions.answer_error(answer).details[0]
+        assert isinstance(detail, errors_pb2.FailureDetail)
+        response.failure.CopyFrom(detail)
+    return response
+
+
+def outputs(answer: work.Answer) -> list[work_pb2.TaskOutput]:
+    """Return the outputs of a complete answer as messages."""
+    return [
+        work_pb2.TaskOutput(
+            name=output.name,
+            payload=validation.payload_value(output.payload),
+            endpoint=output.endpoint,
+            run_s=output.run_s,
+        )
+        for output in answer.outputs
+    ]
+
+
+def state_value(state: work.WorkState) -> work_pb2.WorkState.ValueType:
+    """Return the schema's value of a state."""
+    return work_pb2.WorkState.Value(state.name)
--- /dev/null
+++ b/src/_jasminewind/api/operations.py
@@ -0,0 +1,377 @@
+"""OperationsService: what operators see and do."""
+
+import json
+
+import result
+from google.protobuf import json_format
+from google.protobuf import struct_pb2
+
+from _jasminewind import changes
+from _jasminewind import errors
+from _jasminewind import ids
+from _jasminewind import members
+from _jasminewind import resources
+from _jasminewind.api import calls
+from _jasminewind.api import configs
+from _jasminewind.api import connect
+from _jasminewind.api import convert
+from _jasminewind.api import submissions
+from _jasminewind.api import validation
+from _jasminewind.api.pb import operations_pb2
+
+# Drains are independent of other changes, so a lost race is tried again.
+DRAIN_ATTEMPTS = 5
+
+
+class OperationsService:
+    """Members, endpoints, drains, and the decision log."""
+
+    name = "jasminewind.v1.OperationsService"
+
+    def __init__(
+        self,
+        shared: submissions.Submissions,
+        proposals: configs.Proposals,
+    ) -> None:
+        self.shared = shared
+        self.backend = shared.backend
+        self.proposals = proposals
+
+    def methods(self) -> dict[str, calls.Method]:
+        """Return the methods by name."""
+        pb = operations_pb2
+        return {
+            "ListMembers": calls.Method(
+                request=pb.ListMembersRequest, handler=self.list_members
+            ),
+            "ListWorkers": calls.Method(
+                request=pb.ListWorkersRequest, handler=self.list_workers
+            ),
+            "ListMinions": calls.Method(
+                request=pb.ListMinionsRequest, handler=self.list_minions
+            ),
+            "ListTeams": calls.Method(
+                request=pb.ListTeamsRequest, handler=self.list_teams
+            ),
+            "Drain": calls.Method(
+                request=pb.DrainRequest,
+                handler=self.drain,
+                limits_itself=True,
+            ),
+            "Undrain": calls.Method(
+                request=pb.UndrainRequest,
+                handler=self.undrain,
+                limits_itself=True,
+            ),
+            "ReleaseShard": calls.Method(
+                request=pb.ReleaseShardRequest, handler=self.release_shard
+            ),
+            "Explain": calls.Method(
+                request=pb.ExplainRequest, handler=self.explain
+            ),
+            "GetStatus": calls.Method(
+                request=pb.GetStatusRequest, handler=self.get_status
+            ),
+        }
+
+    async def list_members(
+        self,
+        request: operations_pb2.ListMembersRequest,
+        context: calls.CallContext,
+    ) -> calls.Reply:
+        """Return the live members."""
+        del request, context
+        found = sorted(self.backend.members(), key=lambda m: m.node)
+        return result.Ok(
+            operations_pb2.ListMembersResponse(
+                members=[member_message(m) for m in found]
+            )
+        )
+
+    async def list_workers(
+        self,
+        request: operations_pb2.ListWorkersRequest,
+        context: calls.CallContext,
+    ) -> calls.Reply:
+        """Return the workers."""
+        del request, context
+        return result.Ok(
+            operations_pb2.ListWorkersResponse(
+                workers=self.endpoints(members.EndpointKind.WORKER)
+            )
+        )
+
+    async def list_minions(
+        self,
+        request: operations_pb2.ListMinionsRequest,
+        context: calls.CallContext,
+    ) -> calls.Reply:
+        """Return the minions, of one service if it is named."""
+        del context
+        found = self.endpoints(members.EndpointKind.MINION)
+        if request.service:
+            found = [e for e in found if e.service == request.service]
+        return result.Ok(operations_pb2.ListMinionsResponse(minions=found))
+
+    def endpoints(
+        self, kind: members.EndpointKind
+    ) -> list[operations_pb2.Endpoint]:
+        """Return the endpoints of one kind, by name."""
+        drained = frozenset(self.backend.config().drained)
+        found = [
+            endpoint_message(m, m.endpoint, drained)
+            for m in self.backend.members()
+            if m.endpoint is not None and m.endpoint.kind is kind
+        ]
+        return sorted(found, key=lambda e: e.name)
+
+    async def list_teams(
+        self,
+        request: operations_pb2.ListTeamsRequest,
+        context: calls.CallContext,
+    ) -> calls.Reply:
+        """Return the teams and their quotas."""
+        del request, context
+        return result.Ok(
+            operations_pb2.ListTeamsResponse(
+                teams=[
+                    convert.team_message(t)
+                    for t in self.backend.config().teams
+                ]
+            )
+        )
+
+    async def drain(
+        self, request: operations_pb2.DrainRequest, context: calls.CallContext
+    ) -> calls.Reply:
+        """Give an endpoint no new work."""
+        del context
+        error = self.unknown_endpoint(request)
+        if error is not None:
+            return result.Err(error)
+        made = await self.set_drained(
+            changes.DrainEndpoint(name=request.name),
+            request.change_id,
+            request.author,
+        )
+        return made.map(lambda v: operations_pb2.DrainResponse(version=v))
+
+    async def undrain(
+        self,
+        request: operations_pb2.UndrainRequest,
+        context: calls.CallContext,
+    ) -> calls.Reply:
+        """Give a drained endpoint work again."""
+        del context
+        if not request.name:
+            return result.Err(
+                connect.failure("name an endpoint", field="name")
+            )
+        made = await self.set_drained(
+            changes.UndrainEndpoint(name=request.name),
+            request.change_id,
+            request.author,
+        )
+        return made.map(lambda v: operations_pb2.UndrainResponse(version=v))
+
+    def unknown_endpoint(
+        self, request: operations_pb2.DrainRequest
+    ) -> connect.CallError | None:
+        """Return the error for a name that no endpoint has."""
+        if not request.name:
+            return connect.failure("name an endpoint", field="name")
+        known = [
+            m.endpoint.name
+            for m in self.backend.members()
+            if m.endpoint is not None
+        ]
+        if request.name in known or request.even_if_unknown:
+            return None
+        return connect.failure(
+            f"no endpoint {request.name[:64]!r} is known"
+            + connect.suggestion(request.name, known)
+            + "; set even_if_unknown to drain an endpoint that is down",
+            code=errors.Code.NOT_FOUND,
+            field="name",
+        )
+
+    async def set_drained(
+        self,
+        operation: changes.DrainEndpoint | changes.UndrainEndpoint,
+        change_id: str,
+        author: str,
+    ) -> configs.Proposed:
+        """Drain or undrain, trying again when another change wins."""
+        change_id = change_id or self.proposals.new_change_id()
+        made: configs.Proposed = result.Ok(0)
+        version = 0
+        for _ in range(DRAIN_ATTEMPTS):
+            config = await self.proposals.catch_up(version)
+            wanted = isinstance(operation, changes.DrainEndpoint)
+            if (operation.name in config.drained) == wanted:
+                return result.Ok(config.version)
+            made = await self.proposals.propose(
+                changes.ConfigChange(
+                    change_id=change_id,
+                    expected_version=config.version,
+                    author=author,
+                    operation=operation,
+                )
+            )
+            if isinstance(made, result.Ok):
+                return made
+            if made.err_value.code is not errors.Code.ABORTED:
+                return made
+            version = config.version + 1
+        return made
+
+    async def release_shard(
+        self,
+        request: operations_pb2.ReleaseShardRequest,
+        context: calls.CallContext,
+    ) -> calls.Reply:
+        """Close the row of a shard whose processes are gone."""
+        del context
+        count = self.backend.config().shard_count
+        if request.shard >= count:
+            return result.Err(
+                connect.failure(
+                    f"is {request.shard}, need 0 to {count - 1}",
+                    field="shard",
+                )
+            )
+        if not request.earlier_processes_gone:
+            return result.Err(
+                connect.failure(
+                    "make sure that the owner and the successors of the "
+                    "shard no longer run, since tasks may start twice "
+                    "otherwise; then set this to true",
+                    code=errors.Code.FAILED_PRECONDITION,
+                    field="earlier_processes_gone",
+                )
+            )
+        released = await self.backend.release_shard(request.shard)
+        if isinstance(released, result.Err):
+            return result.Err(
+                connect.failure(
+                    released.err_value,
+                    code=errors.Code.UNAVAILABLE,
+                    outcome=errors.Outcome.MAY_HAVE_RUN,
+                )
+            )
+        return result.Ok(operations_pb2.ReleaseShardResponse())
+
+    async def explain(
+        self,
+        request: operations_pb2.ExplainRequest,
+        context: calls.CallContext,
+    ) -> calls.Reply:
+        """Return the recent decisions on a job or a request."""
+        del context
+        error = validation.work_id_error(
+            request.id, wall_ms=self.backend.now().wall_ms
+        )
+        if error is not None:
+            return result.Err(error)
+        reply = await calls.within(
+            self.shared.clock,
+            self.backend.explain(ids.parse(request.id).unwrap()),
+            submissions.QUERY_LIMIT_S,
+        )
+        if isinstance(reply, calls.TimedOut):
+            return result.Err(
+                connect.failure(
+                    "the owner of this id did not answer; ask again",
+                    code=errors.Code.UNAVAILABLE,
+                )
+            )
+        entries = [explain_entry(text) for text in reply.entries]
+        return result.Ok(operations_pb2.ExplainResponse(entries=entries))
+
+    async def get_status(
+        self,
+        request: operations_pb2.GetStatusRequest,
+        context: calls.CallContext,
+    ) -> calls.Reply:
+        """Return a summary of the system as this entry sees it."""
+        del request, context
+        readiness = self.backend.is_ready()
+        config = self.backend.config()
+        view = self.backend.members()
+        kinds = [m.endpoint.kind for m in view if m.endpoint is not None]
+        owned = {s for m in view for s in m.shards}
+        roles = [m.role for m in view]
+        return result.Ok(
+            operations_pb2.GetStatusResponse(
+                ready=readiness.ready,
+                reason=readiness.reason,
+                config_version=config.version,
+                entries=roles.count(members.Role.ENTRY),
+                agents=roles.count(members.Role.AGENT),
+                workers=kinds.count(members.EndpointKind.WORKER),
+                minions=kinds.count(members.EndpointKind.MINION),
+                running=sum(m.load.running for m in view),
+                queued=sum(m.load.queued for m in view),
+                shards_owned=len(owned),
+                shard_count=config.shard_count,
+            )
+        )
+
+
+def explain_entry(text: str) -> struct_pb2.Struct:
+    """Return one entry of the decision log as a message."""
+    entry = struct_pb2.Struct()
+    try:
+        json_format.ParseDict(json.loads(text), entry)
+    except (json_format.Error, ValueError, TypeError):
+        entry.Clear()
+        entry["text"] = text
+    return entry
+
+
+def member_message(member: members.Member) -> operations_pb2.Member:
+    """Return a member as a message."""
+    return operations_pb2.Member(
+        name=member.node.name,
+        incarnation=member.node.incarnation,
+        address=f"{member.address.host}:{member.address.port}",
+        role=member.role.value,
+        region=member.region,
+        failure_domain=member.failure_domain,
+        rack=member.rack,
+        state=member.state.value,
+        shards=member.shards,
+        config_version=member.config_version,
+    )
+
+
+def endpoint_message(
+    member: members.Member,
+    endpoint: members.Endpoint,
+    drained: frozenset[str],
+) -> operations_pb2.Endpoint:
+    """Return the endpoint of a member as a message."""
+    return operations_pb2.Endpoint(
+        name=endpoint.name,
+        service=endpoint.service,
+        agent=member.node.name,
+        failure_domain=member.failure_domain,
+        rack=member.rack,
+        state=member.state.value,
+        drained=endpoint.name in drained,
+        capacity=amounts(endpoint.capacity),
+        free=amounts(member.load.free),
+        running=member.load.running,
+        queued=member.load.queued,
+        connections=endpoint.connections,
+    )
+
+
+def amounts(value: resources.Resources) -> operations_pb2.Amounts:
+    """Return a resource vector as a message."""
+    return operations_pb2.Amounts(
+        slots=value.slots,
+        cores=value.cores,
+        memory_mb=value.memory_mb,
+        accelerators=value.accelerators,
+    )
--- /dev/null
+++ b/src/_jasminewind/api/submissions.py
@@ -0,0 +1,237 @@
+"""Forwards jobs and requests, and says what became of them."""
+
+import dataclasses
+import random
+
+import result
+from twisted.internet import defer
+
+from _jasminewind import errors
+from _jasminewind import ids
+from _jasminewind import timers
+from _jasminewind.api import backend as backends
+from _jasminewind.api import calls
+from _jasminewind.api import connect
+from _jasminewind.api import validation
+from _jasminewind.messages import work
+
+# The owner answers at the deadline; its answer needs this long to arrive.
+DEADLINE_GRACE_S = 0.1
+QUERY_LIMIT_S = 2.0
+# A refusal should reach the caller within 50 ms.
+REFUSAL_QUERY_LIMIT_S = 0.04
+DETACH_POLL_S = 0.05
+
+Submitted = result.Result[work.Answer, connect.CallError]
+Looked = result.Result[work.WorkStatus, connect.CallError]
+
+
+class Submissions:
+    """The part that jobs and requests share."""
+
+    def __init__(
+        self,
+        *,
+        backend: backends.Backend,
+        clock: timers.Clock,
+        rng: random.Random,
+    ) -> None:
+        self.backend = backend
+        self.clock = clock
+        self.rng = rng
+
+    def new_id(self) -> str:
+        """Return an id for a submission that came without one."""
+        return ids.new(wall_ms=self.backend.now().wall_ms, rng=self.rng)
+
+    async def check(
+        self, checked: validation.Checked, *, client_id: str
+    ) -> result.Result[work.Submit, connect.CallError]:
+        """Return the submission if it may be forwarded now."""
+        refused: validation.Refused | None = None
+        if isinstance(checked, result.Err):
+            refused = checked.err_value
+            if refused.is_lasting:
+                return result.Err(refused.error)
+        readiness = self.backend.is_ready()
+        if not readiness.ready:
+            refused = validation.Refused(
+                error=connect.failure(
+                    f"this entry takes no work: {readiness.reason}; send the "
+                    "submission again, to another entry if it persists",
+                    code=errors.Code.UNAVAILABLE,
+                    work_id=client_id,
+                ),
+                is_lasting=False,
+            )
+        if refused is None:
+            return checked.map_err(lambda r: r.error)
+        return result.Err(await self.settle(refused.error, client_id))
+
+    async def settle(
+        self, error: connect.CallError, client_id: str
+    ) -> connect.CallError:
+        """Return ``error`` with an outcome that holds for the id.
+
+        An earlier submission with the same id may have been accepted, for
+        example before its team was removed. Then "not run" would be wrong.
+        """
+        if not client_id:
+            return error
+        status = await self.look(client_id, REFUSAL_QUERY_LIMIT_S)
+        if isinstance(status, result.Ok):
+            known = status.ok_value.state is not work.WorkState.UNKNOWN
+            if not known and not status.ok_value.may_have_run:
+                return error
+            if known:
+                return self.not_proved(
+                    error,
+                    client_id,
+                    "an earlier submission with this id was accepted; ask "
+                    "for its answer with `jasminewind job get`",
+                )
+        return self.not_proved(
+            error,
+            client_id,
+            "an earlier submission with this id cannot be ruled out",
+        )
+
+    def not_proved(
+        self, error: connect.CallError, work_id: str, addition: str
+    ) -> connect.CallError:
+        """Return ``error`` with the outcome that it may have run."""
+        changed = connect.failure(
+            f"{error.message}; {addition}",
+            code=error.code,
+            outcome=errors.Outcome.MAY_HAVE_RUN,
+            work_id=work_id,
+        )
+        return dataclasses.replace(changed, http_status=error.http_status)
+
+    async def run(self, submit: work.Submit) -> Submitted:
+        """Forward ``submit`` and return its whole answer.
+
+        When the caller disconnects, the server cancels this coroutine,
+        which cancels the work.
+        """
+        source = self.backend.submit(submit)
+        limit_s = submit.budget_s + DEADLINE_GRACE_S
+        try:
+            answer = await calls.within(self.clock, source, limit_s)
+        except defer.CancelledError:
+            self.backend.cancel(submit.work_id)
+            raise
+        except Exception as e:
+            return result.Err(self.unexpected(submit.work_id, e))
+        if isinstance(answer, calls.TimedOut):
+            self.backend.cancel(submit.work_id)
+            return result.Err(
+                connect.failure(
+                    f"no answer within {submit.budget_s:g} s; the work was "
+                    "cancelled",
+                    code=errors.Code.DEADLINE_EXCEEDED,
+                    outcome=errors.Outcome.MAY_HAVE_RUN,
+                    work_id=submit.work_id,
+                )
+            )
+        return judge(submit, answer)
+
+    async def accept(
+        self, submit: work.Submit
+    ) -> result.Result[work.WorkState, connect.CallError]:
+        """Forward ``submit`` and return once its owner knows it."""
+        ended: list[work.Answer] = []
+        source = self.backend.submit(submit)
+        source.addCallbacks(ended.append, lambda failure: None)
+        until_s = self.clock.seconds() + submit.budget_s
+        while self.clock.seconds() < until_s:
+            await calls.pause(self.clock, DETACH_POLL_S)
+            if ended:
+                return judge(submit, ended[0]).map(lambda a: a.state)
+            status = await self.look(submit.work_id, QUERY_LIMIT_S)
+            if isinstance(status, result.Ok):
+                if status.ok_value.state is not work.WorkState.UNKNOWN:
+                    return result.Ok(status.ok_value.state)
+        return result.Err(
+            connect.failure(
+                "no process confirmed the job before its deadline",
+                code=errors.Code.DEADLINE_EXCEEDED,
+                outcome=errors.Outcome.MAY_HAVE_RUN,
+                work_id=submit.work_id,
+            )
+        )
+
+    async def look(self, work_id: str, limit_s: float) -> Looked:
+        """Return the state of a job or a request."""
+        try:
+            source = self.backend.query(work_id)
+            status = await calls.within(self.clock, source, limit_s)
+        except defer.CancelledError:
+            raise
+        except Exception as e:
+            return result.Err(self.unexpected(work_id, e))
+        if isinstance(status, calls.TimedOut):
+            return result.Err(
+                connect.failure(
+                    f"the owner did not answer within {limit_s:g} s; ask "
+                    "again",
+                    code=errors.Code.UNAVAILABLE,
+                    outcome=errors.Outcome.MAY_HAVE_RUN,
+                    work_id=work_id,
+                )
+            )
+        return result.Ok(status)
+
+    def cancel(self, text: str) -> connect.CallError | None:
+        """Cancel the work with this id, or return why it has none."""
+        wall_ms = self.backend.now().wall_ms
+        error = validation.work_id_error(text, wall_ms=wall_ms)
+        if error is None:
+            self.backend.cancel(ids.parse(text).unwrap())
+        return error
+
+    def unexpected(self, work_id: str, error: Exception) -> connect.CallError:
+        """Return the error for a fault of this system."""
+        return connect.failure(
+            f"internal error: {type(error).__name__}: {error}; report it",
+            code=errors.Code.INTERNAL,
+            outcome=errors.Outcome.MAY_HAVE_RUN,
+            work_id=work_id,
+        )
+
+
+def judge(submit: work.Submit, answer: work.Answer) -> Submitted:
+    """Return ``answer`` if it is the whole answer to ``submit``."""
+    if answer.state is not work.WorkState.COMPLETE:
+        return result.Err(answer_error(answer))
+    expected = [t.name for t in submit.tasks]
+    found = [o.name for o in answer.outputs]
+    if answer.work_id == submit.work_id and expected == found:
+        return result.Ok(answer)
+    return result.Err(
+        connect.failure(
+            "the answer known for this id belongs to a submission with other "
+            "tasks; use a new id for each submission",
+            code=errors.Code.ALREADY_EXISTS,
+            outcome=errors.Outcome.MAY_HAVE_RUN,
+            work_id=submit.work_id,
+        )
+    )
+
+
+def answer_error(answer: work.Answer) -> connect.CallError:
+    """Return the error that stands for a failed answer."""
+    error = answer.error
+    if error is None:
+        return connect.failure(
+            f"ended as {answer.state.value} without a reason",
+            code=errors.Code.INTERNAL,
+            outcome=errors.Outcome.MAY_HAVE_RUN,
+            work_id=answer.work_id,
+        )
+    return connect.failure(
+        error.reason,
+        code=error.code,
+        outcome=error.outcome,
+        work_id=answer.work_id,
+    )
--- /dev/null
+++ b/src/_jasminewind/api/validation.py
@@ -0,0 +1,466 @@
+"""Checks of jobs and requests before anything is forwarded."""
+
+import collections.abc
+import dataclasses
+import json
+import math
+import typing
+
+import result
+from google.protobuf import json_format
+from google.protobuf import struct_pb2
+
+from _jasminewind import changes
+from _jasminewind import configuration
+from _jasminewind import errors
+from _jasminewind import ids
+from _jasminewind import resources
+from _jasminewind.api import connect
+from _jasminewind.api.pb import work_pb2
+from _jasminewind.messages import work
+from _jasminewind.wire import frames
+
+MAX_AHEAD_MS = 60_000
+DEFAULT_JOB_DEADLINE_S = 600.0
+DEFAULT_REQUEST_DEADLINE_S = 30.0
+DEFAULT_JOB_DEMAND = resources.Resources(cores=1.0, memory_mb=256.0)
+MAX_AMOUNT = 1e9
+CALL_TASK_NAME = "call"
+# Quotes in a payload are escaped once more inside a frame, so a body may
+# double; smaller bodies need no exact measure.
+MEASURE_ABOVE_BYTES = frames.MAX_FRAME_BYTES // 4
+FRAME_RESERVE_BYTES = 1_024
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Refused:
+    """A submission that is not forwarded.
+
+    ``is_lasting`` is true when no entry ever accepted this submission: the
+    mistake lies in the submission alone. Otherwise an earlier submission
+    with the same id may have been accepted.
+    """
+
+    error: connect.CallError
+    is_lasting: bool = True
+
+
+Checked = result.Result[work.Submit, Refused]
+NewId = collections.abc.Callable[[], str]
+
+
+def lasting(field: str, reason: str, work_id: str = "") -> Refused:
+    """Return the refusal of a submission that never was valid."""
+    return Refused(error=connect.failure(reason, field=field, work_id=work_id))
+
+
+def passing(
+    field: str,
+    reason: str,
+    work_id: str,
+    code: errors.Code = errors.Code.INVALID_ARGUMENT,
+) -> Refused:
+    """Return the refusal of what may have been valid at another time."""
+    return Refused(
+        error=connect.failure(reason, code=code, field=field, work_id=work_id),
+        is_lasting=False,
+    )
+
+
+def work_id_error(
+    text: str, *, wall_ms: int, field: str = "id"
+) -> connect.CallError | None:
+    """Return why ``text`` cannot be the id of any work."""
+    parsed = ids.parse(text)
+    if isinstance(parsed, result.Err):
+        return connect.failure(
+            f"{text[:64]!r} is {parsed.err_value.reason}", field=field
+        )
+    ahead_ms = ids.time_ms(parsed.ok_value) - wall_ms
+    if ahead_ms > MAX_AHEAD_MS:
+        return connect.failure(
+            f"was created {ahead_ms / 1000:.0f} s ahead of this system's "
+            f"clock, at most {MAX_AHEAD_MS // 1000} s; correct the clock of "
+            "the client and create a new id with `jasminewind new-id`",
+            field=field,
+            work_id=parsed.ok_value,
+        )
+    return None
+
+
+def submit_job(
+    request: work_pb2.SubmitJobRequest,
+    *,
+    config: configuration.Configuration,
+    wall_ms: int,
+    timeout_s: float | None,
+    body_bytes: int,
+    new_id: NewId,
+) -> Checked:
+    """Return the job to forward, or why it is refused."""
+    if request.id:
+        error = work_id_error(request.id, wall_ms=wall_ms)
+        if error is not None:
+            return result.Err(Refused(error=error))
+    work_id = ids.parse(request.id).unwrap() if request.id else new_id()
+    refused = (
+        check_tasks(request.tasks, work_id)
+        or check_limits(request, config, work_id)
+        or check_team(request.team, config, work_id)
+        or check_methods(request.tasks, config, work_id)
+        or check_deadline(request.deadline_s, timeout_s, config, work_id)
+    )
+    if refused is not None:
+        return result.Err(refused)
+    return bounded(
+        work.Submit(
+            work_id=work_id,
+            kind=work.WorkKind.JOB,
+            team=request.team,
+            tasks=tuple(job_task(t, config) for t in request.tasks),
+            budget_s=budget(
+                request.deadline_s,
+                timeout_s,
+                min(DEFAULT_JOB_DEADLINE_S, config.limits.max_deadline_s),
+            ),
+            config_version=config.version,
+        ),
+        body_bytes,
+    )
+
+
+def call(
+    request: work_pb2.CallRequest,
+    *,
+    config: configuration.Configuration,
+    wall_ms: int,
+    timeout_s: float | None,
+    body_bytes: int,
+    new_id: NewId,
+) -> Checked:
+    """Return the request to forward, or why it is refused."""
+    if request.id:
+        error = work_id_error(request.id, wall_ms=wall_ms)
+        if error is not None:
+            return result.Err(Refused(error=error))
+    work_id = ids.parse(request.id).unwrap() if request.id else new_id()
+    refused = (
+        check_run_time("expected_s", request.expected_s, work_id)
+        or check_team(request.team, config, work_id)
+        or check_method("", request.service, request.method, config, work_id)
+        or check_deadline(request.deadline_s, timeout_s, config, work_id)
+    )
+    if refused is not None:
+        return result.Err(refused)
+    task = work.Task(
+        name=CALL_TASK_NAME,
+        service=request.service,
+        method=request.method,
+        payload=payload_text(request.payload),
+        expected_s=request.expected_s,
+        repeatable=is_repeatable(request.service, request.method, config),
+    )
+    return bounded(
+        work.Submit(
+            work_id=work_id,
+            kind=work.WorkKind.REQUEST,
+            team=request.team,
+            tasks=(task,),
+            budget_s=budget(
+                request.deadline_s,
+                timeout_s,
+                min(DEFAULT_REQUEST_DEADLINE_S, config.limits.max_deadline_s),
+            ),
+            config_version=config.version,
+        ),
+        body_bytes,
+    )
+
+
+def bounded(submit: work.Submit, body_bytes: int) -> Checked:
+    """Return ``submit`` if it fits into one frame between processes."""
+    most = frames.MAX_FRAME_BYTES - FRAME_RESERVE_BYTES
+    if body_bytes > MEASURE_ABOVE_BYTES:
+        size = len(frames.encode(submit))
+        if size > most:
+            return result.Err(
+                Refused(
+                    error=connect.failure(
+                        f"takes {size} bytes when forwarded, at most {most}; "
+                        "send smaller payloads or fewer tasks",
+                        code=errors.Code.RESOURCE_EXHAUSTED,
+                        field="tasks",
+                        work_id=submit.work_id,
+                    )
+                )
+            )
+    return result.Ok(submit)
+
+
+def check_tasks(
+    tasks: collections.abc.Sequence[work_pb2.Task], work_id: str
+) -> Refused | None:
+    """Return the first mistake in the tasks themselves."""
+    if not tasks:
+        return lasting(
+            "tasks", "is empty; a job needs at least one task", work_id
+        )
+    if len(tasks) > changes.MAX_TASKS:
+        return lasting(
+            "tasks",
+            f"has {len(tasks)} tasks, at most {changes.MAX_TASKS}; split the "
+            "job",
+            work_id,
+        )
+    seen: dict[str, int] = {}
+    for i, task in enumerate(tasks):
+        path = f"tasks[{i}]"
+        refused = check_task(path, task, work_id)
+        if refused is not None:
+            return refused
+        if task.name in seen:
+            return lasting(
+                f"{path}.name",
+                f"repeats {task.name!r} of tasks[{seen[task.name]}]; give "
+                "each task of a job its own name",
+                work_id,
+            )
+        seen[task.name] = i
+    return None
+
+
+def check_task(path: str, task: work_pb2.Task, work_id: str) -> Refused | None:
+    """Return the first mistake in one task."""
+    if not 0 < len(task.name) <= changes.MAX_NAME_CHARS:
+        return lasting(
+            f"{path}.name",
+            f"need 1 to {changes.MAX_NAME_CHARS} characters",
+            work_id,
+        )
+    if not task.name.isprintable():
+        return lasting(
+            f"{path}.name", "need printable characters only", work_id
+        )
+    return check_run_time(
+        f"{path}.expected_s", task.expected_s, work_id
+    ) or check_demand(f"{path}.demand", task, work_id)
+
+
+def check_run_time(field: str, value: float, work_id: str) -> Refused | None:
+    """Return the refusal of a declared run time that cannot be."""
+    if math.isfinite(value) and 0 <= value <= changes.MAX_DEADLINE_S:
+        return None
+    return lasting(
+        field,
+        f"is {value:g}, need seconds from 0 to {changes.MAX_DEADLINE_S:g}",
+        work_id,
+    )
+
+
+def check_demand(
+    path: str, task: work_pb2.Task, work_id: str
+) -> Refused | None:
+    """Return the refusal of a demand that cannot be."""
+    if not task.HasField("demand"):
+        return None
+    demand = task.demand
+    amounts = {
+        "cores": demand.cores,
+        "memory_mb": demand.memory_mb,
+        "accelerators": demand.accelerators,
+    }
+    for name, value in amounts.items():
+        if not (math.isfinite(value) and 0 <= value <= MAX_AMOUNT):
+            return lasting(
+                f"{path}.{name}",
+                f"is {value:g}, need 0 to {MAX_AMOUNT:g}",
+                work_id,
+            )
+    if not any(amounts.values()):
+        return lasting(
+            path,
+            "is 0 in every amount; declare cores, memory_mb or "
+            "accelerators, or leave demand out",
+            work_id,
+        )
+    return None
+
+
+def check_limits(
+    request: work_pb2.SubmitJobRequest,
+    config: configuration.Configuration,
+    work_id: str,
+) -> Refused | None:
+    """Return the refusal of a job above the configured limit."""
+    most = config.limits.max_tasks
+    if len(request.tasks) <= most:
+        return None
+    return passing(
+        "tasks",
+        f"has {len(request.tasks)} tasks, at most {most}; split the job",
+        work_id,
+    )
+
+
+def check_team(
+    name: str, config: configuration.Configuration, work_id: str
+) -> Refused | None:
+    """Return the refusal of an unknown team."""
+    if not name:
+        return lasting("team", "is empty; name your team", work_id)
+    if config.team(name) is not None:
+        return None
+    known = [t.name for t in config.teams]
+    return passing(
+        "team",
+        f"there is no team {name[:64]!r}{connect.suggestion(name, known)}",
+        work_id,
+    )
+
+
+def check_methods(
+    tasks: collections.abc.Sequence[work_pb2.Task],
+    config: configuration.Configuration,
+    work_id: str,
+) -> Refused | None:
+    """Return the refusal of the first unknown service or method."""
+    known: set[tuple[str, str]] = set()
+    for i, task in enumerate(tasks):
+        pair = (task.service, task.method)
+        if pair in known:
+            continue
+        refused = check_method(
+            f"tasks[{i}].", task.service, task.method, config, work_id
+        )
+        if refused is not None:
+            return refused
+        known.add(pair)
+    return None
+
+
+def check_method(
+    prefix: str,
+    service: str,
+    method: str,
+    config: configuration.Configuration,
+    work_id: str,
+) -> Refused | None:
+    """Return the refusal of an unknown service or method."""
+    found = config.service(service)
+    if found is None:
+        known = [s.name for s in config.services]
+        return passing(
+            f"{prefix}service",
+            f"there is no service {service[:64]!r}"
+            + connect.suggestion(service, known),
+            work_id,
+        )
+    names = [m.name for m in found.methods]
+    if method in names:
+        return None
+    return passing(
+        f"{prefix}method",
+        f"service {service!r} has no method {method[:64]!r}"
+        + connect.suggestion(method, names),
+        work_id,
+    )
+
+
+def check_deadline(
+    deadline_s: float,
+    timeout_s: float | None,
+    config: configuration.Configuration,
+    work_id: str,
+) -> Refused | None:
+    """Return the refusal of a deadline that is past or too far ahead."""
+    given: list[tuple[str, float]] = []
+    if deadline_s != 0:
+        given.append(("deadline_s", deadline_s))
+    if timeout_s is not None:
+        given.append((connect.TIMEOUT_HEADER, timeout_s))
+    for field, value in given:
+        if value <= 0:
+            return passing(
+                field,
+                "the deadline has passed; give the time that is left",
+                work_id,
+                errors.Code.DEADLINE_EXCEEDED,
+            )
+        if not value <= config.limits.max_deadline_s:
+            return passing(
+                field,
+                f"is {value:g} s, at most {config.limits.max_deadline_s:g} s",
+                work_id,
+            )
+    return None
+
+
+def budget(
+    deadline_s: float, timeout_s: float | None, default_s: float
+) -> float:
+    """Return the seconds until the earlier deadline."""
+    given = [v for v in (deadline_s or None, timeout_s) if v is not None]
+    return min(given, default=default_s)
+
+
+def job_task(
+    task: work_pb2.Task, config: configuration.Configuration
+) -> work.Task:
+    """Return the task as it is forwarded."""
+    demand = DEFAULT_JOB_DEMAND
+    if task.HasField("demand"):
+        demand = resources.Resources(
+            cores=task.demand.cores,
+            memory_mb=task.demand.memory_mb,
+            accelerators=task.demand.accelerators,
+        )
+    return work.Task(
+        name=task.name,
+        service=task.service,
+        method=task.method,
+        payload=payload_text(task.payload),
+        demand=demand,
+        expected_s=task.expected_s,
+        repeatable=is_repeatable(task.service, task.method, config),
+    )
+
+
+def is_repeatable(
+    service: str, method: str, config: configuration.Configuration
+) -> bool:
+    """Tell whether the configuration says that running twice is harmless."""
+    found = config.service(service)
+    methods = found.methods if found is not None else ()
+    return any(m.name == method and m.repeatable for m in methods)
+
+
+def payload_text(payload: struct_pb2.Struct) -> str:
+    """Return the JSON text of a payload."""
+    return json.dumps(
+        json_format.MessageToDict(payload),
+        ensure_ascii=False,
+        separators=(",", ":"),
+    )
+
+
+def payload_value(text: str) -> struct_pb2.Value:
+    """Return the JSON value that an endpoint returned.
+
+    Text that is not JSON, or that a ``Value`` cannot hold, is returned as
+    a string, so that the caller loses nothing.
+    """
+    value = struct_pb2.Value()
+    try:
+        parsed: typing.Any = None
+        if text:
+            parsed = json.loads(
+                text,
+                parse_constant=connect.refuse_constant,
+                parse_int=connect.exact_integer,
+                parse_float=connect.finite_number,
+            )
+        json_format.ParseDict(parsed, value)
+    except (json_format.Error, ValueError, TypeError, RecursionError):
+        value.Clear()
+        value.string_value = text
+    return value
--- a/src/_jasminewind/changes.py
+++ b/src/_jasminewind/changes.py
@@ -164,7 +164,9 @@
 Applied = result.Result[configuration.Configuration, ChangeError]
 
 
-def apply(config: configuration.Configuration, change: ConfigChange) -> Applied:
+def apply(
+    config: configuration.Configuration, change: ConfigChange
+) -> Applied:
     """Return the configuration after ``change``, or why it is not valid.
 
     The new configuration has the next version and the change's id last in
--- a/src/_jasminewind/messages/work.py
+++ b/src/_jasminewind/messages/work.py
@@ -109,7 +109,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class WorkStatus:
-    """Answer to ``QueryWork``; ``answer`` is set when it is finished."""
+    """Answer to ``QueryWork``; ``answer`` is set when it is finished.
+
+    ``may_have_run`` goes with the state ``UNKNOWN`` and says that a process
+    which could have accepted the id does not answer, so that nothing is
+    proved. Without it, ``UNKNOWN`` means that no process has seen the id.
+    """
 
     work_id: str
     query_id: int
@@ -117,6 +122,7 @@
     tasks_total: int = 0
     tasks_done: int = 0
     answer: Answer | None = None
+    may_have_run: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
