Add settings, logs, metrics, examples, and tests of the remote calls

Cause: both roles need checked settings, a decision log and metrics before they can be assembled. Examples for both deployments. A configuration too large for one frame is refused.

--- a/src/_jasminewind/changes.py
+++ b/src/_jasminewind/changes.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+import msgspec
 import result
 
 from _jasminewind import configuration
@@ -21,10 +22,13 @@
 MAX_SHARDS = 4_096
 MAX_CELLS = 1_024
 MAX_WEIGHT = 1_000.0
-# Bodies reach agents inside one frame, with room for the envelope.
-MAX_BODY_BYTES = (1 << 20) - 4_096
+# Work travels in one frame.
+MAX_BODY_BYTES = 1 << 20
 MAX_TASKS = 110
 MAX_DEADLINE_S = 86_400.0
+# A configuration travels in one frame, with room for the envelope and for
+# the id and author of one more change.
+MAX_CONFIG_BYTES = (1 << 20) - 4_096
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -286,10 +290,23 @@
         check_limits(config.limits),
         check_drained(config.drained),
         check_counts(config),
+        check_size(config),
     )
     return next((e for e in checks if e is not None), None)
 
 
+def check_size(config: configuration.Configuration) -> ChangeError | None:
+    """Return an error for a configuration that no frame can hold."""
+    size = len(msgspec.json.encode(config))
+    if size <= MAX_CONFIG_BYTES:
+        return None
+    return ChangeError(
+        field="configuration",
+        reason=f"takes {size} bytes, at most {MAX_CONFIG_BYTES}; remove "
+        "drained endpoints that no longer exist, or unused methods",
+    )
+
+
 def check_teams(teams: tuple[configuration.Team, ...]) -> ChangeError | None:
     """Return the first mistake in the teams."""
     error = check_names("teams", tuple(t.name for t in teams), MAX_TEAMS)
@@ -360,7 +377,7 @@
             "limits.max_body_bytes",
             limits.max_body_bytes,
             1_024,
-            MAX_BODY_BYTES + 4_096,
+            MAX_BODY_BYTES,
         )
         or in_range("limits.max_queued", limits.max_queued, 1, 10**7)
     )
--- /dev/null
+++ b/src/_jasminewind/logs.py
@@ -0,0 +1,139 @@
+"""Logs: JSON lines to stderr, and the decision log."""
+
+import collections
+import dataclasses
+import logging
+import sys
+import typing
+
+import msgspec
+import structlog
+import xxhash
+
+from _jasminewind import settings
+from _jasminewind import timers
+from _jasminewind.decisions import core
+
+DECISIONS_KEPT = 2_000
+REPORT_PERIOD_S = 10.0
+HASH_SPAN = 1 << 64
+
+
+def configure(
+    *,
+    level: settings.LogLevel = settings.LogLevel.INFO,
+    node: str = "",
+    stream: typing.TextIO | None = None,
+) -> None:
+    """Write log lines as JSON to ``stream``, stderr by default.
+
+    ``node`` is the name of this process and is part of each line.
+    """
+    number = logging.getLevelNamesMapping()[level.name]
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.dict_tracebacks,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(number),
+        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
+        cache_logger_on_first_use=False,
+    )
+    structlog.contextvars.clear_contextvars()
+    if node:
+        structlog.contextvars.bind_contextvars(node=node)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Entry:
+    """A decision and the wall time at which it was made."""
+
+    wall_ms: int
+    decision: core.LogDecision
+
+    def fields(self) -> dict[str, typing.Any]:
+        """Return the fields that are set."""
+        found = {
+            field.name: getattr(self.decision, field.name)
+            for field in dataclasses.fields(self.decision)
+        }
+        return {name: value for name, value in found.items() if value}
+
+    def text(self) -> str:
+        """Return the entry as JSON text."""
+        record = {"wall_ms": self.wall_ms, **self.fields()}
+        return msgspec.json.encode(record).decode()
+
+
+class DecisionLog:
+    """Writes decisions, a share of them, and keeps the last ones.
+
+    The share is taken by job and request, so that the decisions on one of
+    them are written together or not at all, on every node.
+    """
+
+    def __init__(
+        self,
+        *,
+        timer_service: timers.TimerService,
+        share: float = 1.0,
+        logger: typing.Any = None,
+    ) -> None:
+        self.timer_service = timer_service
+        self.share = share
+        self.logger = logger or structlog.get_logger("decision")
+        self.kept: collections.deque[Entry] = collections.deque(
+            maxlen=DECISIONS_KEPT
+        )
+        self.dropped = 0
+        self.reporting = timer_service.every(REPORT_PERIOD_S, self.report)
+
+    def decision(self, action: core.LogDecision) -> None:
+        """Write one decision, unless sampling drops it."""
+        entry = Entry(
+            wall_ms=self.timer_service.now().wall_ms, decision=action
+        )
+        self.kept.append(entry)
+        if self.is_written(action):
+            self.logger.info("decision", **entry.fields())
+        else:
+            self.dropped += 1
+
+    def is_written(self, action: core.LogDecision) -> bool:
+        """Tell whether a decision is in the share that is written.
+
+        Decisions that concern no job or request are rare, and are always
+        written.
+        """
+        if not action.work_id or self.share >= 1.0:
+            return True
+        value = xxhash.xxh64_intdigest(action.work_id.encode())
+        return value < self.share * HASH_SPAN
+
+    def report(self, now: core.Instant) -> None:
+        """Write how many decisions were dropped since the last report."""
+        del now
+        if self.dropped:
+            self.logger.info(
+                "decisions dropped by sampling",
+                count=self.dropped,
+                period_s=REPORT_PERIOD_S,
+                share=self.share,
+            )
+        self.dropped = 0
+
+    def explain(self, work_id: str) -> tuple[str, ...]:
+        """Return the kept decisions on one id as JSON text, oldest first."""
+        return tuple(
+            entry.text()
+            for entry in self.kept
+            if entry.decision.work_id == work_id
+        )
+
+    def close(self) -> None:
+        """Stop reporting, after a last report."""
+        self.reporting.cancel()
+        self.report(self.timer_service.now())
--- /dev/null
+++ b/src/_jasminewind/metrics.py
@@ -0,0 +1,274 @@
+"""Metrics of what users and operators notice, with their units."""
+
+import abc
+import dataclasses
+import enum
+import typing
+
+from _jasminewind import settings
+
+SERVICE_NAME = "jasminewind"
+
+
+class Kind(enum.StrEnum):
+    """How the values of an instrument are combined."""
+
+    COUNTER = "counter"
+    HISTOGRAM = "histogram"
+    GAUGE = "gauge"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Instrument:
+    """Something that is measured; ``unit`` follows UCUM."""
+
+    name: str
+    kind: Kind
+    unit: str
+    description: str
+    bounds: tuple[float, ...] = ()
+
+
+def counter(name: str, unit: str, description: str) -> Instrument:
+    """Define a sum that only rises."""
+    return Instrument(
+        name=f"jasminewind.{name}",
+        kind=Kind.COUNTER,
+        unit=unit,
+        description=description,
+    )
+
+
+def gauge(name: str, unit: str, description: str) -> Instrument:
+    """Define a value of which the last one counts."""
+    return Instrument(
+        name=f"jasminewind.{name}",
+        kind=Kind.GAUGE,
+        unit=unit,
+        description=description,
+    )
+
+
+def histogram(
+    name: str, unit: str, description: str, bounds: tuple[float, ...]
+) -> Instrument:
+    """Define a distribution; ``bounds`` are the limits of its buckets."""
+    return Instrument(
+        name=f"jasminewind.{name}",
+        kind=Kind.HISTOGRAM,
+        unit=unit,
+        description=description,
+        bounds=bounds,
+    )
+
+
+# Bounds contain the targets: ratios 1.25 and 2.0, refusals within 50 ms.
+RATIO_BOUNDS = (1.05, 1.1, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0)
+TIME_BOUNDS_S = (
+    0.001,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+    30.0,
+    100.0,
+)
+
+RESPONSE_RATIO = histogram(
+    "response.ratio",
+    "1",
+    "Time until the answer, divided by the time on an idle system.",
+    RATIO_BOUNDS,
+)
+RESPONSE_TIME = histogram(
+    "response.time", "s", "Time until the whole answer.", TIME_BOUNDS_S
+)
+REFUSAL_TIME = histogram(
+    "refusal.time", "s", "Time until a refusal.", TIME_BOUNDS_S
+)
+QUEUE_TIME = histogram(
+    "task.queue_time", "s", "Time from arrival to start.", TIME_BOUNDS_S
+)
+RUN_TIME = histogram(
+    "task.run_time", "s", "Run time on the endpoint.", TIME_BOUNDS_S
+)
+SUBMISSIONS = counter(
+    "submissions", "{submission}", "Jobs and requests that arrived."
+)
+ANSWERS = counter(
+    "answers", "{answer}", "Answers given, by state and outcome."
+)
+REFUSALS = counter(
+    "refusals", "{submission}", "Submissions refused, by reason."
+)
+CANCELLATIONS = counter(
+    "cancellations", "{submission}", "Submissions cancelled by callers."
+)
+TASK_STARTS = counter("task.starts", "{task}", "Tasks started.")
+TASK_RETRIES = counter(
+    "task.retries", "{task}", "Starts after the first of a task."
+)
+TASK_HEDGES = counter(
+    "task.hedges", "{task}", "Second starts while the first still ran."
+)
+MESSAGES_SENT = counter(
+    "messages.sent", "{message}", "Messages written to links, by type."
+)
+MESSAGES_WASTED = counter(
+    "messages.wasted",
+    "{message}",
+    "Messages that led to no start and no answer, by type.",
+)
+BYTES_SENT = counter("links.bytes_sent", "By", "Bytes written to links.")
+LINKS = gauge("links.open", "{link}", "Open links to other processes.")
+LINKS_REPLACED = counter(
+    "links.replaced", "{link}", "Links replaced because they were silent."
+)
+START_CREST = gauge(
+    "task.starts.crest",
+    "1",
+    "Highest starts in one second of the last minute, divided by the mean.",
+)
+QUEUED = gauge("task.queued", "{task}", "Tasks that wait for a keeper.")
+RUNNING = gauge("task.running", "{task}", "Tasks that run.")
+FREE_SHARE = gauge(
+    "endpoint.free_share", "1", "Free share of the endpoint's capacity."
+)
+EJECTED = gauge(
+    "endpoints.ejected", "{endpoint}", "Endpoints ejected as failing."
+)
+MEMBERS = gauge("members", "{member}", "Members in the view, by state.")
+SHARDS_OWNED = gauge("shards.owned", "{shard}", "Shards owned here.")
+CONFIG_AGE = gauge(
+    "config.age", "s", "Time since a fresh entry confirmed the version."
+)
+CONFIG_VERSION = gauge("config.version", "1", "Configuration in force.")
+TABLE_CALLS = counter(
+    "table.calls", "{call}", "Calls to the table, by kind and outcome."
+)
+TABLE_TIME = histogram(
+    "table.time", "s", "Duration of calls to the table.", TIME_BOUNDS_S
+)
+LOOP_LAG = histogram(
+    "reactor.lag", "s", "Delay of timers in the process.", TIME_BOUNDS_S
+)
+
+INSTRUMENTS: tuple[Instrument, ...] = tuple(
+    value for value in list(globals().values()) if type(value) is Instrument
+)
+
+
+class Meter(abc.ABC):
+    """Takes measurements. Attributes have few distinct values each."""
+
+    @abc.abstractmethod
+    def add(
+        self, instrument: Instrument, amount: float = 1, **attributes: str
+    ) -> None:
+        """Add to a counter."""
+
+    @abc.abstractmethod
+    def record(
+        self, instrument: Instrument, value: float, **attributes: str
+    ) -> None:
+        """Record one value of a histogram or a gauge."""
+
+    def close(self) -> None:
+        """Export what is left, and stop."""
+
+
+class NoMeter(Meter):
+    """Measures nothing, for processes without an export endpoint."""
+
+    def add(
+        self, instrument: Instrument, amount: float = 1, **attributes: str
+    ) -> None:
+        """Ignore the amount."""
+
+    def record(
+        self, instrument: Instrument, value: float, **attributes: str
+    ) -> None:
+        """Ignore the value."""
+
+
+class ExportMeter(Meter):
+    """Gives measurements to an OpenTelemetry meter provider."""
+
+    def __init__(self, provider: typing.Any) -> None:
+        self.provider = provider
+        meter = provider.get_meter(SERVICE_NAME)
+        self.instruments = {
+            instrument.name: create(meter, instrument)
+            for instrument in INSTRUMENTS
+        }
+
+    def add(
+        self, instrument: Instrument, amount: float = 1, **attributes: str
+    ) -> None:
+        """Add to a counter."""
+        self.instruments[instrument.name].add(amount, attributes)
+
+    def record(
+        self, instrument: Instrument, value: float, **attributes: str
+    ) -> None:
+        """Record one value of a histogram or a gauge."""
+        found = self.instruments[instrument.name]
+        if instrument.kind is Kind.GAUGE:
+            found.set(value, attributes)
+        else:
+            found.record(value, attributes)
+
+    def close(self) -> None:
+        """Export what is left, and stop."""
+        self.provider.shutdown()
+
+
+def create(meter: typing.Any, instrument: Instrument) -> typing.Any:
+    """Create an instrument on an OpenTelemetry meter."""
+    name = instrument.name
+    options: dict[str, typing.Any] = {
+        "unit": instrument.unit,
+        "description": instrument.description,
+    }
+    if instrument.kind is Kind.COUNTER:
+        return meter.create_counter(name, **options)
+    if instrument.kind is Kind.GAUGE:
+        return meter.create_gauge(name, **options)
+    options["explicit_bucket_boundaries_advisory"] = instrument.bounds
+    return meter.create_histogram(name, **options)
+
+
+def from_settings(chosen: settings.Settings) -> Meter:
+    """Return the meter that the settings ask for."""
+    if not chosen.metrics_endpoint:
+        return NoMeter()
+    # Imported here, because the SDK takes memory that an agent without
+    # export does not have to spare.
+    from opentelemetry.exporter.otlp.proto.http import metric_exporter
+    from opentelemetry.sdk import metrics as sdk_metrics
+    from opentelemetry.sdk import resources as sdk_resources
+    from opentelemetry.sdk.metrics import export as sdk_export
+
+    reader = sdk_export.PeriodicExportingMetricReader(
+        metric_exporter.OTLPMetricExporter(endpoint=chosen.metrics_endpoint),
+        export_interval_millis=chosen.metrics_interval_s * 1000,
+    )
+    resource = sdk_resources.Resource.create(
+        {
+            "service.name": SERVICE_NAME,
+            "service.instance.id": chosen.name,
+            "jasminewind.role": chosen.role.value,
+            "jasminewind.region": chosen.region,
+            "jasminewind.failure_domain": chosen.failure_domain,
+        }
+    )
+    return ExportMeter(
+        sdk_metrics.MeterProvider(metric_readers=[reader], resource=resource)
+    )
--- /dev/null
+++ b/testing/test_examples.py
@@ -0,0 +1,46 @@
+"""Tests of the examples."""
+
+import pathlib
+
+import pytest
+
+from _jasminewind.api import connect
+from _jasminewind.api import initial
+from _jasminewind.api import validation
+from _jasminewind.api.pb import work_pb2
+
+EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
+WALL_MS = 1_796_000_000_000
+
+
+@pytest.mark.parametrize("deployment", ["karri-creek", "federation"])
+def test_example_work_is_valid_under_the_example_configuration(deployment):
+    """Guards against examples that a new user cannot run."""
+    folder = EXAMPLES / deployment
+    config = initial.read(folder / "config.json").unwrap()
+    options = {
+        "config": config,
+        "wall_ms": WALL_MS,
+        "timeout_s": None,
+        "body_bytes": 0,
+        "new_id": lambda: "id",
+    }
+    job = connect.decode(
+        (folder / "job.json").read_bytes(), work_pb2.SubmitJobRequest
+    ).unwrap()
+    assert validation.submit_job(job, **options).is_ok()
+    request = connect.decode(
+        (folder / "request.json").read_bytes(), work_pb2.CallRequest
+    ).unwrap()
+    assert validation.call(request, **options).is_ok()
+
+
+@pytest.mark.parametrize(
+    "text", ["", "{", '{"teams": [{"nam": "x"}]}', '{"shardCount": 0}']
+)
+def test_bad_initial_configuration_is_one_line(tmp_path, text):
+    """Guards against an entry that writes a bad first configuration."""
+    path = tmp_path / "config.json"
+    if text:
+        path.write_text(text)
+    assert str(path) in initial.read(path).unwrap_err()
--- /dev/null
+++ b/testing/tools/test_schema.py
@@ -0,0 +1,20 @@
+"""Tests of the generated code."""
+
+from tools import schema
+
+
+def test_generated_code_is_current():
+    """Guards against committed code that differs from the schema."""
+    assert schema.main(["--check"]) == 0
+
+
+def test_difference_is_found(tmp_path, monkeypatch):
+    """Guards against a check that passes whatever it is given."""
+    monkeypatch.setattr(schema, "TARGET", tmp_path)
+    (tmp_path / "old_pb2.py").write_text("")
+    (tmp_path / "work_pb2.py").write_text("# old")
+    assert schema.differences({"work_pb2.py": "# new", "a.py": ""}) == [
+        "work_pb2.py differs from the schema",
+        "a.py is missing",
+        "old_pb2.py has no schema file",
+    ]
