Add the agent node

Cause: the decisions of an agent need sockets, time and an endpoint.

Change: the agent drives keeper, membership, configuration, ownership and coordinator; the endpoint task owns the client of the endpoint; a local HTTP port takes announcements.

--- a/src/_jasminewind/nodes/agent.py
+++ b/src/_jasminewind/nodes/agent.py
@@ -6,20 +6,36 @@
 
 from _jasminewind import announcements
 from _jasminewind import members
-from _jasminewind import settings as settings_module
 from _jasminewind import timers
-from _jasminewind.decisions import configuration
+from _jasminewind.decisions import agentsync
 from _jasminewind.decisions import coordinator
 from _jasminewind.decisions import core
 from _jasminewind.decisions import keeper
 from _jasminewind.decisions import membership
 from _jasminewind.decisions import ownership
+from _jasminewind.messages import tasks
+from _jasminewind.messages import work
 from _jasminewind.nodes import endpoint
 from _jasminewind.nodes import node
 from _jasminewind.platform import client
 
 REFRESH_PERIOD_S = 0.2
-ATTACH_RETRY_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AgentStatus:
+    """Counts of an agent. Bytes are those of links since the start."""
+
+    node: str
+    state: members.State
+    config_version: int
+    is_fresh: bool
+    members: int
+    shards: tuple[int, ...]
+    coordinator: coordinator.CoordinatorStatus
+    load: members.Load
+    bytes_in: int
+    bytes_out: int
 
 
 class Agent(node.Node):
@@ -33,7 +49,7 @@
         member: members.Member,
         seeds: tuple[members.Address, ...],
         table: client.Table,
-        log_decision: node.DecisionSink,
+        decision_log: node.DecisionLog,
         log: typing.Any,
         rng: random.Random,
     ) -> None:
@@ -42,21 +58,22 @@
             timer_service=timer_service,
             member=member,
             table=table,
-            log_decision=log_decision,
+            decision_log=decision_log,
             log=log,
         )
         self.keeper = keeper.Keeper(node=member.node)
         self.membership = membership.Membership(
             member=member, seeds=seeds, rng=rng
         )
-        self.config_sync = configuration.AgentConfig(member=member, rng=rng)
+        self.config_sync = agentsync.AgentConfigSync(member=member, rng=rng)
         self.ownership = ownership.Ownership(member=member, rng=rng)
         self.coordinator = coordinator.Coordinator(
-            member=member, ownership=self.ownership, rng=rng
-        )
-        self.endpoint = endpoint.EndpointTask(
-            node=self, keeper_decision=self.keeper
+            member=member,
+            ownership=self.ownership,
+            rng=rng,
+            freshness=self.config_sync,
         )
+        self.endpoint = endpoint.EndpointTask(node=self, keeper=self.keeper)
         self.shared_view: tuple[members.Member, ...] = ()
         self.is_leaving = False
         self.handlers[core.StartOnEndpoint] = self.endpoint.start
@@ -69,7 +86,30 @@
             self.keeper,
         ):
             self.add(decision)
-        self.ticks.append(timer_service.every(REFRESH_PERIOD_S, self._refresh))
+        self.ticks.append(timer_service.every(REFRESH_PERIOD_S, self.refresh))
+
+    def link_message(self, sender: members.NodeId, message: object) -> None:
+        """Handle a message; work from a newer configuration fetches it."""
+        now = self.timers.now()
+        if isinstance(message, work.Submit | tasks.StartTasks):
+            actions = self.config_sync.on_version_seen(
+                sender, message.config_version, now
+            )
+            self.perform(self.config_sync, actions)
+        if isinstance(message, work.ExplainRequest):
+            self.links.send(
+                sender, members.NO_ADDRESS, self.explanation(message)
+            )
+            return
+        super().link_message(sender, message)
+
+    def explanation(self, request: work.ExplainRequest) -> work.ExplainReply:
+        """Return the decisions that this process keeps of an id."""
+        return work.ExplainReply(
+            work_id=request.work_id,
+            query_id=request.query_id,
+            entries=self.decision_log.explain(request.work_id),
+        )
 
     def announce(self, announcement: announcements.Announcement) -> None:
         """Handle the periodic announcement of the endpoint."""
@@ -79,7 +119,7 @@
         """Handle the word of the endpoint that it is leaving."""
         now = self.timers.now()
         self.perform(self.keeper, self.keeper.begin_drain(now))
-        self._refresh(now)
+        self.refresh(now)
 
     def begin_shutdown(self) -> None:
         """Take no new work and hand the shards over."""
@@ -90,7 +130,7 @@
         self.perform(self.keeper, self.keeper.begin_drain(now))
         self.perform(self.ownership, self.ownership.begin_leave(now))
         self.perform(self.membership, self.membership.begin_leave(now))
-        self._refresh(now)
+        self.refresh(now)
 
     def is_idle(self) -> bool:
         """Tell whether a shutdown would cut nothing short."""
@@ -100,36 +140,61 @@
             and self.ownership.has_left()
         )
 
-    def is_ready(self) -> bool:
-        """Tell whether the agent takes work."""
-        return (
-            not self.is_leaving
-            and self.config_sync.current().version > 0
-            and self.endpoint.is_attached
+    def not_ready(self) -> str:
+        """Return why this agent takes no work, empty if it does."""
+        if self.is_leaving:
+            return "the agent is shutting down"
+        if self.config_sync.current().version == 0:
+            return "no configuration is known yet"
+        if not self.endpoint.is_attached:
+            return "no endpoint has announced itself"
+        return ""
+
+    def status(self) -> AgentStatus:
+        """Return the counts of this agent."""
+        bytes_in, bytes_out = self.links.traffic()
+        return AgentStatus(
+            node=str(self.member.node),
+            state=self.state(),
+            config_version=self.config_sync.current().version,
+            is_fresh=self.config_sync.is_fresh(self.timers.now()),
+            members=len(self.membership.view()),
+            shards=self.ownership.owned(),
+            coordinator=self.coordinator.status(),
+            load=self.keeper.load(),
+            bytes_in=bytes_in,
+            bytes_out=bytes_out,
         )
 
     def stop(self) -> None:
         """Close every socket."""
+        self.perform(
+            self.membership, self.membership.end_leave(self.timers.now())
+        )
         self.stop_ticks()
         self.endpoint.stop()
         self.links.stop()
 
-    def _refresh(self, now: core.Instant) -> None:
+    def refresh(self, now: core.Instant) -> None:
+        """Announce the state of this process; share a changed view."""
         record = dataclasses.replace(
             self.membership.member,
-            state=self._state(),
-            endpoint=self.endpoint.description,
+            state=self.state(),
+            endpoint=self.endpoint.description(),
             load=self.keeper.load(),
             shards=self.ownership.owned(),
             config_version=self.config_sync.current().version,
         )
-        self.perform(self.membership, self.membership.update_self(record, now))
+        self.perform(
+            self.membership, self.membership.update_self(record, now)
+        )
         view = self.membership.view()
         if view != self.shared_view:
             self.shared_view = view
             self.share_view(view)
 
-    def _state(self) -> members.State:
+    def state(self) -> members.State:
+        """Return the state that this process announces."""
         if self.is_leaving:
             return members.State.LEAVING
         if self.keeper.is_draining():
@@ -137,17 +202,3 @@
         if self.endpoint.is_attached:
             return members.State.SERVING
         return members.State.JOINING
-
-
-def member_from_settings(
-    settings: settings_module.Settings, *, wall_ms: int
-) -> members.Member:
-    """Return the record that a process announces about itself at start."""
-    return members.Member(
-        node=members.NodeId(settings.name, wall_ms),
-        address=members.Address(settings.host, settings.port),
-        role=members.Role(settings.role),
-        region=settings.region,
-        failure_domain=settings.failure_domain,
-        rack=settings.rack,
-    )
--- /dev/null
+++ b/src/_jasminewind/nodes/endpoint.py
@@ -0,0 +1,155 @@
+"""The task that owns the client of the endpoint beside an agent."""
+
+import dataclasses
+import typing
+
+import result
+
+from _jasminewind import announcements
+from _jasminewind import errors
+from _jasminewind import members
+from _jasminewind.decisions import core
+from _jasminewind.decisions import keeper as keepers
+from _jasminewind.messages import tasks
+from _jasminewind.nodes import node as nodes
+from _jasminewind.platform import client
+from _jasminewind.platform import minions
+from _jasminewind.platform import workers
+
+ATTACH_RETRY_S = 1.0
+
+
+class EndpointTask:
+    """Attaches to the announced endpoint and passes tasks to it."""
+
+    def __init__(self, *, node: nodes.Node, keeper: keepers.Keeper) -> None:
+        self.node = node
+        self.keeper = keeper
+        self.announcement: announcements.Announcement | None = None
+        self.client: client.EndpointClient | None = None
+        self.is_attached = False
+        self.is_stopped = False
+
+    def description(self) -> members.Endpoint | None:
+        """Return the endpoint as it announced itself."""
+        if self.announcement is None:
+            return None
+        return self.announcement.endpoint()
+
+    def announced(self, announcement: announcements.Announcement) -> None:
+        """Note a periodic announcement; attach to a new endpoint."""
+        if self.is_stopped:
+            return
+        now = self.node.timers.now()
+        endpoint = announcement.endpoint()
+        if not self._is_same(announcement):
+            self.announcement = announcement
+            self._replace_client(announcement)
+        actions = self.keeper.on_announce(endpoint, now)
+        self.node.perform(self.keeper, actions)
+
+    def start(self, decision: core.Decision, action: typing.Any) -> None:
+        """Carry out a ``StartOnEndpoint``."""
+        del decision
+        start: tasks.TaskStart = action.start
+        if self.client is None:
+            self.node.timers.after(0, lambda now: self._not_started(start))
+            return
+        self.client.start(start)
+
+    def order(self, decision: core.Decision, action: typing.Any) -> None:
+        """Carry out an ``OrderOnEndpoint``."""
+        del decision
+        if self.client is not None:
+            self.client.order(action.key, action.order)
+
+    def stop(self) -> None:
+        """Release the endpoint."""
+        self.is_stopped = True
+        if self.client is not None:
+            self.client.detach()
+
+    def _is_same(self, announcement: announcements.Announcement) -> bool:
+        known = self.announcement
+        if known is None or self.client is None:
+            return False
+        # A change of capacity alone needs no new client.
+        return dataclasses.replace(
+            known, capacity=announcement.capacity
+        ) == dataclasses.replace(announcement)
+
+    def _replace_client(
+        self, announcement: announcements.Announcement
+    ) -> None:
+        if self.client is not None:
+            self.client.detach()
+        self.is_attached = False
+        self.client = self._new_client(announcement)
+        self._attach(self.client)
+
+    def _new_client(
+        self, announcement: announcements.Announcement
+    ) -> client.EndpointClient:
+        member = self.node.member
+        if announcement.kind is members.EndpointKind.MINION:
+            return minions.HttpMinion(
+                reactor=self.node.reactor,
+                host=member.address.host,
+                port=announcement.port,
+                connections=announcement.connections,
+            )
+        return workers.HttpWorker(
+            reactor=self.node.reactor,
+            host=member.address.host,
+            port=announcement.port,
+            holder=member.node.name,
+            incarnation=member.node.incarnation,
+        )
+
+    def _attach(self, endpoint: client.EndpointClient) -> None:
+        attaching = endpoint.attach(self._ended, self._used)
+        attaching.addCallback(self._attached, endpoint)
+        attaching.addErrback(self.node.report_failure)
+
+    def _attached(
+        self,
+        outcome: result.Result[
+            tuple[tasks.TaskKey, ...], errors.EndpointError
+        ],
+        endpoint: client.EndpointClient,
+    ) -> None:
+        if endpoint is not self.client or self.is_stopped:
+            return
+        if isinstance(outcome, result.Err):
+            self.node.log.warning(
+                "cannot attach to the endpoint; trying again",
+                reason=outcome.err_value.reason,
+                retry_s=ATTACH_RETRY_S,
+            )
+            self.node.timers.after(
+                ATTACH_RETRY_S, lambda now: self._retry(endpoint)
+            )
+            return
+        self.is_attached = True
+        now = self.node.timers.now()
+        actions = self.keeper.on_attached(outcome.ok_value, now)
+        self.node.perform(self.keeper, actions)
+
+    def _retry(self, endpoint: client.EndpointClient) -> None:
+        if endpoint is self.client and not self.is_stopped:
+            self._attach(endpoint)
+
+    def _ended(self, end: core.TaskEnd) -> None:
+        now = self.node.timers.now()
+        self.node.perform(self.keeper, self.keeper.on_task_end(end, now))
+
+    def _used(self, usage: tuple[core.Usage, ...]) -> None:
+        now = self.node.timers.now()
+        self.node.perform(self.keeper, self.keeper.on_usage(usage, now))
+
+    def _not_started(self, start: tasks.TaskStart) -> None:
+        error = errors.EndpointError(
+            failure=errors.EndpointFailure.REFUSED,
+            reason="no endpoint has announced itself to this agent",
+        )
+        self._ended(core.TaskEnd(key=start.key, run_s=0.0, error=error))
--- /dev/null
+++ b/src/_jasminewind/nodes/local.py
@@ -0,0 +1,96 @@
+"""The agent's local HTTP port: announcements and health checks."""
+
+import collections.abc
+import typing
+
+import msgspec
+from twisted.web import resource
+from twisted.web import server
+
+from _jasminewind import announcements
+
+MAX_BODY_BYTES = 16 << 10
+
+
+class Health(resource.Resource):
+    """Answers whether the process is alive or takes work."""
+
+    isLeaf = True
+
+    def __init__(self, check: collections.abc.Callable[[], str]) -> None:
+        super().__init__()
+        self.check = check
+
+    # The names of the render methods are twisted's.
+    def render_GET(self, request: typing.Any) -> bytes:  # noqa: N802
+        """Return 200, or 503 with the reason."""
+        reason = self.check()
+        request.setResponseCode(503 if reason else 200)
+        request.setHeader("Content-Type", "text/plain")
+        return f"{reason or 'ok'}\n".encode()
+
+
+class Announce(resource.Resource):
+    """Takes the announcements of the endpoint."""
+
+    isLeaf = True
+
+    def __init__(
+        self,
+        handle: collections.abc.Callable[[announcements.Announcement], None],
+    ) -> None:
+        super().__init__()
+        self.handle = handle
+
+    def render_POST(self, request: typing.Any) -> bytes:  # noqa: N802
+        """Decode one announcement and pass it on."""
+        request.setHeader("Content-Type", "application/json")
+        body = request.content.read(MAX_BODY_BYTES + 1)
+        if len(body) > MAX_BODY_BYTES:
+            request.setResponseCode(413)
+            return msgspec.json.encode({"error": "body above 16 KiB"})
+        decoded = announcements.decode(body)
+        if decoded.is_err():
+            request.setResponseCode(400)
+            reason = decoded.unwrap_err().reason
+            return msgspec.json.encode({"error": reason})
+        self.handle(decoded.unwrap())
+        return b"{}"
+
+
+class Status(resource.Resource):
+    """Returns counts of this process for operators, as JSON."""
+
+    isLeaf = True
+
+    def __init__(self, read: collections.abc.Callable[[], object]) -> None:
+        super().__init__()
+        self.read = read
+
+    def render_GET(self, request: typing.Any) -> bytes:  # noqa: N802
+        """Return the status."""
+        request.setHeader("Content-Type", "application/json")
+        return msgspec.json.encode(self.read())
+
+
+def site(
+    *,
+    announce: collections.abc.Callable[[announcements.Announcement], None],
+    leave: collections.abc.Callable[[], None],
+    not_ready: collections.abc.Callable[[], str],
+    status: collections.abc.Callable[[], object],
+) -> server.Site:
+    """Return the site with the agent's local paths."""
+    version = resource.Resource()
+    version.putChild(b"announce", Announce(announce))
+    version.putChild(b"leave", Announce(lambda announcement: leave()))
+    version.putChild(b"status", Status(status))
+    root = resource.Resource()
+    root.putChild(b"v1", version)
+    root.putChild(b"healthz", Health(lambda: ""))
+    root.putChild(b"readyz", Health(not_ready))
+    # Requests of one endpoint and of health checks need no access log.
+    found = server.Site(root)
+    found.noisy = False
+    found.displayTracebacks = False
+    return found
--- a/src/_jasminewind/nodes/node.py
+++ b/src/_jasminewind/nodes/node.py
@@ -14,7 +14,17 @@
 from _jasminewind.wire import links
 
 Handler = collections.abc.Callable[[core.Decision, typing.Any], None]
-DecisionSink = collections.abc.Callable[[core.LogDecision], None]
+
+
+class DecisionLog(typing.Protocol):
+    """Where the decisions are written, as :class:`logs.DecisionLog`."""
+
+    def decision(self, action: core.LogDecision) -> None:
+        """Write one decision."""
+
+    def explain(self, work_id: str) -> tuple[str, ...]:
+        """Return the decisions on one id as JSON text, oldest first."""
+        ...
 
 
 class Node(links.LinkOwner):
@@ -31,14 +41,14 @@
         timer_service: timers.TimerService,
         member: members.Member,
         table: client.Table,
-        log_decision: DecisionSink,
+        decision_log: DecisionLog,
         log: typing.Any,
     ) -> None:
         self.reactor = reactor
         self.timers = timer_service
         self.member = member
         self.table = table
-        self.log_decision = log_decision
+        self.decision_log = decision_log
         self.log = log
         self.decisions: list[core.Decision] = []
         self.routes: dict[type, list[core.Decision]] = {}
@@ -189,4 +199,4 @@
 
     def _log(self, decision: core.Decision, action: core.LogDecision) -> None:
         del decision
-        self.log_decision(action)
+        self.decision_log.decision(action)
