Add the HTTP platform clients and the stand-ins

Cause: keepers need a table, workers and minions to talk to, and tests need the same platform with faults that can be switched on. Change: platform/http, tables, workers, minions and protocol; stand-ins of the table, worker, minion and balancer with a program that runs them; announcements; testing/reactor.py, which runs the global reactor in a thread. A lost worker start is settled by a higher generation of the same keeper followed by a read of the leases.

--- /dev/null
+++ b/src/_jasminewind/announcements.py
@@ -0,0 +1,60 @@
+"""What an endpoint tells the agent beside it, over local HTTP."""
+
+import dataclasses
+
+import msgspec
+import result
+
+from _jasminewind import errors
+from _jasminewind import members
+from _jasminewind import resources
+
+ANNOUNCE_PATH = "/v1/announce"
+LEAVE_PATH = "/v1/leave"
+ANNOUNCE_PERIOD_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Announcement:
+    """The fields of :class:`members.Endpoint` and the endpoint's port.
+
+    ``port`` is the TCP port of the endpoint on the agent's own host. The
+    same body announces the endpoint and, at the leave path, its exit.
+    """
+
+    name: str
+    kind: members.EndpointKind
+    port: int
+    service: str = ""
+    capacity: resources.Resources = resources.NOTHING
+    connections: int = 0
+
+    def endpoint(self) -> members.Endpoint:
+        """Return the announced endpoint."""
+        return members.Endpoint(
+            name=self.name,
+            kind=self.kind,
+            service=self.service,
+            capacity=self.capacity,
+            connections=self.connections,
+        )
+
+
+DECODER = msgspec.json.Decoder(Announcement)
+
+
+def decode(body: bytes) -> result.Result[Announcement, errors.WireError]:
+    """Return the announcement in an HTTP body."""
+    try:
+        found = DECODER.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as e:
+        return result.Err(
+            errors.WireError(reason=f"malformed announcement: {e}")
+        )
+    if not 0 < found.port < 65536:
+        return result.Err(
+            errors.WireError(
+                reason=f"port {found.port} is not a TCP port (1 to 65535)"
+            )
+        )
+    return result.Ok(found)
--- /dev/null
+++ b/src/_jasminewind/platform/http.py
@@ -0,0 +1,278 @@
+"""JSON calls over HTTP that are sent once and never sent again."""
+
+import dataclasses
+import enum
+import typing
+
+import msgspec
+import result
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import error as net_error
+from twisted.internet import protocol as protocols
+from twisted.python import failure
+from twisted.web import client
+from twisted.web import http_headers
+from twisted.web import iweb
+from zope import interface  # type: ignore[import-untyped]
+
+from _jasminewind.platform import protocol
+
+CONNECT_TIMEOUT_S = 1.0
+# Below the idle timeout of common servers (60 s), so that a call rarely
+# meets a connection that the server is about to close.
+IDLE_CONNECTION_S = 20
+MAX_BODY_BYTES = 8 << 20
+# These prove that no byte of the request was written. A timeout of the call
+# is defer.TimeoutError, which is not among them.
+NOT_SENT_ERRORS = (
+    net_error.ConnectError,
+    net_error.ConnectingCancelledError,
+    net_error.TimeoutError,
+    net_error.DNSLookupError,
+    client.RequestNotSent,
+)
+
+
+class CallFailure(enum.StrEnum):
+    """Ways in which a call can fail."""
+
+    NOT_SENT = "NOT_SENT"
+    REFUSED = "REFUSED"
+    CONFLICT = "CONFLICT"
+    FAILED = "FAILED"
+    UNKNOWN = "UNKNOWN"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallError:
+    """A failed call.
+
+    ``NOT_SENT``, ``REFUSED`` and ``CONFLICT`` prove that it had no effect;
+    ``FAILED`` means that the server answered with an error; ``UNKNOWN``
+    means that the answer is lost. ``generation`` is as in
+    :class:`protocol.Refused`.
+    """
+
+    failure: CallFailure
+    reason: str
+    generation: int = 0
+
+
+Reply = typing.TypeVar("Reply")
+
+
+@interface.implementer(iweb.IBodyProducer)
+class Body:
+    """A request body that is written in one piece."""
+
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+        self.length = len(data)
+
+    # The names are those of twisted's interface.
+    def startProducing(  # noqa: N802
+        self, consumer: typing.Any
+    ) -> defer.Deferred[None]:
+        """Write the whole body."""
+        consumer.write(self.data)
+        return defer.succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Do nothing: the body is already written."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Do nothing: the body is already written."""
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: the body is already written."""
+
+
+class BodyReader(protocols.Protocol):
+    """Collects the body of an answer; a body that is too long is an error.
+
+    twisted's ``readBody`` has no limit, and warns when the whole answer
+    has arrived with its headers.
+    """
+
+    def __init__(self) -> None:
+        self.parts: list[bytes] = []
+        self.size = 0
+        self.done: defer.Deferred[bytes] = defer.Deferred(self.cancel)
+
+    # The names are those of twisted's interface.
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Collect a part of the body."""
+        self.size += len(data)
+        if self.size > MAX_BODY_BYTES:
+            self.fail(BodyTooLong(f"the answer has over {self.size} bytes"))
+            return
+        self.parts.append(data)
+
+    def connectionLost(  # noqa: N802
+        self, reason: failure.Failure = protocols.connectionDone
+    ) -> None:
+        """Return the body, or the failure that cut it short."""
+        if self.done.called:
+            return
+        if reason.check(client.ResponseDone):
+            self.done.callback(b"".join(self.parts))
+        else:
+            self.done.errback(reason)
+
+    def fail(self, error: Exception) -> None:
+        """Give the answer up and close its connection."""
+        self.cancel(self.done)
+        if not self.done.called:
+            self.done.errback(error)
+
+    def cancel(self, done: defer.Deferred[bytes]) -> None:
+        """Close the connection; the rest of the body is not wanted."""
+        del done
+        self.parts.clear()
+        transport: typing.Any = self.transport
+        if transport is not None:
+            transport.loseConnection()
+
+
+class BodyTooLong(Exception):
+    """The body of an answer is longer than :data:`MAX_BODY_BYTES`."""
+
+
+def read_body(response: typing.Any) -> defer.Deferred[bytes]:
+    """Return the whole body of ``response``."""
+    reader = BodyReader()
+    response.deliverBody(reader)
+    return reader.done
+
+
+@interface.implementer(iweb.IAgentEndpointFactory)
+class IpEndpoints:
+    """Connects to IP numbers directly, without a name lookup."""
+
+    def __init__(self, reactor: typing.Any) -> None:
+        self.reactor = reactor
+
+    def endpointForURI(  # noqa: N802
+        self, uri: client.URI
+    ) -> endpoints.TCP4ClientEndpoint:
+        """Return the endpoint for the host and port of ``uri``."""
+        return endpoints.TCP4ClientEndpoint(
+            self.reactor,
+            uri.host.decode(),
+            uri.port,
+            timeout=CONNECT_TIMEOUT_S,
+        )
+
+
+class JsonClient:
+    """Calls one server over persistent connections."""
+
+    def __init__(
+        self, *, reactor: typing.Any, host: str, port: int, connections: int
+    ) -> None:
+        self.reactor = reactor
+        self.base = f"http://{host}:{port}"
+        self.pool = client.HTTPConnectionPool(reactor, persistent=True)
+        self.pool.retryAutomatically = False
+        self.pool.maxPersistentPerHost = connections
+        self.pool.cachedConnectionTimeout = IDLE_CONNECTION_S
+        self.agent = client.Agent.usingEndpointFactory(
+            reactor, IpEndpoints(reactor), pool=self.pool
+        )
+        self.headers = http_headers.Headers(
+            {"content-type": ["application/json"]}
+        )
+
+    def post(
+        self,
+        path: str,
+        body: object,
+        kind: type[Reply],
+        *,
+        timeout_s: float,
+    ) -> defer.Deferred[result.Result[Reply, CallError]]:
+        """Send ``body`` once; return the answer decoded as ``kind``."""
+        return self.call(
+            b"POST", path, msgspec.json.encode(body), kind, timeout_s
+        )
+
+    def get(
+        self, path: str, kind: type[Reply], *, timeout_s: float
+    ) -> defer.Deferred[result.Result[Reply, CallError]]:
+        """Read ``path`` once; return the answer decoded as ``kind``."""
+        return self.call(b"GET", path, b"", kind, timeout_s)
+
+    def call(
+        self,
+        method: bytes,
+        path: str,
+        data: bytes,
+        kind: type[Reply],
+        timeout_s: float,
+    ) -> defer.Deferred[result.Result[Reply, CallError]]:
+        """Make one call and translate its answer."""
+        exchange = defer.ensureDeferred(
+            self.exchange(method, path, data, kind)
+        )
+        # A timed out call also aborts its connection, so that the next
+        # call does not use a silent one.
+        exchange.addTimeout(timeout_s, self.reactor)
+        exchange.addErrback(self.lost)
+        return exchange
+
+    async def exchange(
+        self, method: bytes, path: str, data: bytes, kind: type[Reply]
+    ) -> result.Result[Reply, CallError]:
+        """Send one request and read its answer."""
+        response = await self.agent.request(
+            method,
+            (self.base + path).encode(),
+            self.headers,
+            Body(data) if data else None,
+        )
+        body = await read_body(response)
+        return decoded(response.code, body, kind)
+
+    def lost(
+        self, reason: failure.Failure
+    ) -> result.Result[typing.Any, CallError]:
+        """Translate the failure of a call without an answer."""
+        kind = CallFailure.UNKNOWN
+        if reason.check(*NOT_SENT_ERRORS):
+            kind = CallFailure.NOT_SENT
+        text = f"{type(reason.value).__name__}: {reason.getErrorMessage()}"
+        return result.Err(CallError(failure=kind, reason=text[:300]))
+
+    def close(self) -> defer.Deferred[None]:
+        """Close idle connections."""
+        return self.pool.closeCachedConnections()
+
+
+def decoded(
+    status: int, body: bytes, kind: type[Reply]
+) -> result.Result[Reply, CallError]:
+    """Return the body of an answer, or the error that it reports."""
+    try:
+        if status == protocol.OK:
+            return result.Ok(msgspec.json.decode(body, type=kind))
+        refused = msgspec.json.decode(body, type=protocol.Refused)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as e:
+        return result.Err(
+            CallError(
+                failure=CallFailure.UNKNOWN,
+                reason=f"status {status} with a malformed body: {e}",
+            )
+        )
+    failure_kind = CallFailure.FAILED
+    if status == protocol.CONFLICT:
+        failure_kind = CallFailure.CONFLICT
+    elif refused.not_run:
+        failure_kind = CallFailure.REFUSED
+    return result.Err(
+        CallError(
+            failure=failure_kind,
+            reason=refused.reason,
+            generation=refused.generation,
+        )
+    )
--- /dev/null
+++ b/src/_jasminewind/standins/announcer.py
@@ -0,0 +1,62 @@
+"""Announces an endpoint stand-in to the agent beside it."""
+
+import typing
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from _jasminewind import announcements
+from _jasminewind.platform import http
+from _jasminewind.platform import protocol
+from _jasminewind.standins import server
+
+TIMEOUT_S = 0.8
+
+
+class Announcer:
+    """Posts the announcement to the agent's local port every second."""
+
+    def __init__(
+        self,
+        *,
+        reactor: typing.Any,
+        standin: server.StandIn,
+        announcement: announcements.Announcement,
+        agent_port: int,
+    ) -> None:
+        self.standin = standin
+        self.announcement = announcement
+        self.calls = http.JsonClient(
+            reactor=reactor, host=server.HOST, port=agent_port, connections=1
+        )
+        self.loop = task.LoopingCall(self.announce)
+        self.loop.clock = reactor
+
+    def start(self) -> None:
+        """Announce now and every second from now on."""
+        self.loop.start(announcements.ANNOUNCE_PERIOD_S)
+
+    def announce(self) -> defer.Deferred[typing.Any] | None:
+        """Announce once, unless a fault keeps the endpoint silent."""
+        faults = self.standin.faults
+        if faults.down or faults.silent:
+            return None
+        return self.post(announcements.ANNOUNCE_PATH)
+
+    def post(self, path: str) -> defer.Deferred[typing.Any]:
+        """Send the announcement to ``path`` of the agent."""
+        return self.calls.post(
+            path, self.announcement, protocol.Empty, timeout_s=TIMEOUT_S
+        )
+
+    async def leave(self) -> None:
+        """Tell the agent that the endpoint is about to exit."""
+        if self.loop.running:
+            self.loop.stop()
+        await self.post(announcements.LEAVE_PATH)
+
+    async def close(self) -> None:
+        """Stop announcing."""
+        if self.loop.running:
+            self.loop.stop()
+        await self.calls.close()
--- /dev/null
+++ b/src/_jasminewind/standins/balancer.py
@@ -0,0 +1,189 @@
+"""Stand-in of the platform's balancer in front of the entries."""
+
+import typing
+
+from twisted.internet import defer
+from twisted.internet import task
+from twisted.web import client
+from twisted.web import http_headers
+from twisted.web import server
+
+from _jasminewind import members
+from _jasminewind.platform import http
+from _jasminewind.platform import protocol
+from _jasminewind.standins import server as standin_server
+
+HEALTH_PERIOD_S = 0.5
+HEALTH_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 120.0
+CONNECTIONS = 64
+FORWARDED = (
+    b"content-type",
+    b"connect-protocol-version",
+    b"connect-timeout-ms",
+    b"accept",
+)
+
+
+class BalancerStandIn(standin_server.StandIn):
+    """Forwards each call to the next healthy entry in turn.
+
+    A call that certainly was not sent goes to another entry. With
+    ``resend`` so does a call whose connection broke before the answer,
+    which can run it twice at entries that do not join repeated ids.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: typing.Any,
+        name: str = "balancer",
+        port: int = 0,
+        control_port: int = 0,
+        entries: tuple[members.Address, ...],
+        health_path: str = protocol.HEALTH_PATH,
+        resend: bool = False,
+    ) -> None:
+        super().__init__(
+            reactor=reactor, name=name, port=port, control_port=control_port
+        )
+        self.entries = entries
+        self.health_path = health_path
+        self.resend = resend
+        self.healthy = set(entries)
+        self.turn = 0
+        self.pool = client.HTTPConnectionPool(reactor, persistent=True)
+        self.pool.retryAutomatically = False
+        self.pool.maxPersistentPerHost = CONNECTIONS
+        self.pool.cachedConnectionTimeout = http.IDLE_CONNECTION_S
+        self.agent = client.Agent.usingEndpointFactory(
+            reactor, http.IpEndpoints(reactor), pool=self.pool
+        )
+        self.checks = task.LoopingCall(self.check_all)
+        self.checks.clock = reactor
+
+    def open(self) -> None:
+        """Listen and check the entries."""
+        super().open()
+        self.checks.start(HEALTH_PERIOD_S)
+
+    async def close(self) -> None:
+        """Stop checking and listening."""
+        if self.checks.running:
+            self.checks.stop()
+        await super().close()
+        await self.pool.closeCachedConnections()
+
+    # Health.
+
+    def check_all(self) -> defer.Deferred[typing.Any]:
+        """Check every entry."""
+        return defer.gatherResults(
+            [defer.ensureDeferred(self.check(entry)) for entry in self.entries]
+        )
+
+    async def check(self, entry: members.Address) -> None:
+        """Note whether one entry answers its health check with 200."""
+        call = self.agent.request(b"GET", url(entry, self.health_path))
+        call.addTimeout(HEALTH_TIMEOUT_S, self.reactor)
+        try:
+            response = await call
+            body = http.read_body(response)
+            await body.addTimeout(HEALTH_TIMEOUT_S, self.reactor)
+        except Exception:
+            self.healthy.discard(entry)
+            return
+        if response.code == protocol.OK:
+            self.healthy.add(entry)
+        else:
+            self.healthy.discard(entry)
+
+    # Calls.
+
+    async def serve(
+        self, request: server.Request, path: str, body: bytes
+    ) -> None:
+        """Forward a call unless a fault of the balancer applies."""
+        faults = self.faults
+        if faults.delay_s or faults.freeze or faults.refuse or faults.fail:
+            await super().serve(request, path, body)
+            return
+        await self.forward(request, body)
+
+    async def forward(self, request: server.Request, body: bytes) -> None:
+        """Send a call to one entry after another until one answers."""
+        tried: set[members.Address] = set()
+        while True:
+            entry = self.next_entry(tried)
+            if entry is None:
+                standin_server.finish(
+                    request, standin_server.refused("no entry answers")
+                )
+                return
+            tried.add(entry)
+            try:
+                response = await self.send(entry, request, body)
+                data = await http.read_body(response)
+            except http.NOT_SENT_ERRORS:
+                self.healthy.discard(entry)
+                continue
+            except Exception as e:
+                if self.resend:
+                    continue
+                standin_server.finish(
+                    request,
+                    standin_server.Reply(
+                        status=protocol.BAD_GATEWAY,
+                        body=protocol.Refused(
+                            reason=f"the answer is lost: {e!r}"[:300]
+                        ),
+                    ),
+                )
+                return
+            relay(request, response, data)
+            return
+
+    def send(
+        self, entry: members.Address, request: server.Request, body: bytes
+    ) -> defer.Deferred[typing.Any]:
+        """Send a call to ``entry`` once."""
+        headers = http_headers.Headers()
+        for name in FORWARDED:
+            values = request.requestHeaders.getRawHeaders(name)
+            if values:
+                headers.setRawHeaders(name, values)
+        call = self.agent.request(
+            request.method,
+            url(entry, request.uri.decode("latin-1")),
+            headers,
+            http.Body(body) if body else None,
+        )
+        return call.addTimeout(CALL_TIMEOUT_S, self.reactor)
+
+    def next_entry(
+        self, tried: set[members.Address]
+    ) -> members.Address | None:
+        """Return the next healthy entry that was not tried yet."""
+        for _ in self.entries:
+            entry = self.entries[self.turn % len(self.entries)]
+            self.turn += 1
+            if entry in self.healthy and entry not in tried:
+                return entry
+        return None
+
+
+def url(entry: members.Address, path: str) -> bytes:
+    """Return the URL of ``path`` at ``entry``."""
+    return f"http://{entry.host}:{entry.port}{path}".encode()
+
+
+def relay(request: server.Request, response: typing.Any, data: bytes) -> None:
+    """Give an entry's answer to the caller."""
+    if request.finished or getattr(request, "_disconnected", False):
+        return
+    request.setResponseCode(response.code)
+    for value in response.headers.getRawHeaders(b"content-type") or ():
+        request.setHeader(b"content-type", value)
+    request.setHeader(b"content-length", str(len(data)).encode())
+    request.write(data)
+    request.finish()
--- /dev/null
+++ b/src/_jasminewind/standins/main.py
@@ -0,0 +1,210 @@
+"""Program that runs the stand-ins named in a settings file."""
+
+import dataclasses
+import pathlib
+import sys
+import typing
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import reactor as global_reactor
+from twisted.internet import task
+
+from _jasminewind.standins import announcer
+from _jasminewind.standins import balancer
+from _jasminewind.standins import minion
+from _jasminewind.standins import server
+from _jasminewind.standins import settings
+from _jasminewind.standins import table
+from _jasminewind.standins import worker
+
+POLL_S = 0.05
+USAGE = "usage: python -m _jasminewind.standins.main SETTINGS.json"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ports:
+    """Where one stand-in listens."""
+
+    name: str
+    port: int
+    control_port: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ready:
+    """The line that the program prints once all ports are open."""
+
+    event: str
+    ports: tuple[Ports, ...]
+
+
+class Process:
+    """The stand-ins of one process and their announcers."""
+
+    def __init__(
+        self, *, reactor: typing.Any, wanted: settings.Settings
+    ) -> None:
+        self.reactor = reactor
+        self.wanted = wanted
+        self.standins: list[server.StandIn] = []
+        self.announcers: list[announcer.Announcer] = []
+
+    def start(self) -> Ready:
+        """Open all ports and announce the endpoints."""
+        for item in self.wanted.standins:
+            self.add(item)
+        return Ready(
+            event="ready",
+            ports=tuple(
+                Ports(
+                    name=standin.name,
+                    port=standin.port,
+                    control_port=standin.control_port,
+                )
+                for standin in self.standins
+            ),
+        )
+
+    def add(
+        self,
+        item: (
+            settings.Table
+            | settings.Worker
+            | settings.Minion
+            | settings.Balancer
+        ),
+    ) -> None:
+        """Open one stand-in."""
+        match item:
+            case settings.Table():
+                self.open(self.new_table(item))
+            case settings.Balancer():
+                self.open(self.new_balancer(item))
+            case settings.Worker():
+                self.open_endpoint(self.new_worker(item), item.agent_port)
+            case settings.Minion():
+                self.open_endpoint(self.new_minion(item), item.agent_port)
+
+    def new_table(self, item: settings.Table) -> table.TableStandIn:
+        """Return the table of ``item``."""
+        return table.TableStandIn(
+            reactor=self.reactor,
+            name=item.name,
+            port=item.port,
+            control_port=item.control_port,
+            sync_s=item.sync_s,
+            writes_per_s=item.writes_per_s,
+            reads_per_s=item.reads_per_s,
+        )
+
+    def new_balancer(
+        self, item: settings.Balancer
+    ) -> balancer.BalancerStandIn:
+        """Return the balancer of ``item``."""
+        return balancer.BalancerStandIn(
+            reactor=self.reactor,
+            name=item.name,
+            port=item.port,
+            control_port=item.control_port,
+            entries=item.entries,
+            health_path=item.health_path,
+            resend=item.resend,
+        )
+
+    def new_worker(self, item: settings.Worker) -> worker.WorkerStandIn:
+        """Return the worker of ``item``."""
+        return worker.WorkerStandIn(
+            reactor=self.reactor,
+            name=item.name,
+            port=item.port,
+            control_port=item.control_port,
+            capacity=item.capacity,
+            speed=item.speed,
+            can_checkpoint=item.can_checkpoint,
+            usage_lag_s=item.usage_lag_s,
+        )
+
+    def new_minion(self, item: settings.Minion) -> minion.MinionStandIn:
+        """Return the minion of ``item``."""
+        return minion.MinionStandIn(
+            reactor=self.reactor,
+            name=item.name,
+            port=item.port,
+            control_port=item.control_port,
+            service=item.service,
+            slots=item.slots,
+            max_connections=item.connections,
+            speed=item.speed,
+        )
+
+    def open(self, standin: server.StandIn) -> None:
+        """Open the ports of a stand-in."""
+        standin.open()
+        self.standins.append(standin)
+
+    def open_endpoint(
+        self,
+        standin: worker.WorkerStandIn | minion.MinionStandIn,
+        agent_port: int,
+    ) -> None:
+        """Open an endpoint and announce it to the agent beside it."""
+        self.open(standin)
+        if not agent_port:
+            return
+        endpoint_announcer = announcer.Announcer(
+            reactor=self.reactor,
+            standin=standin,
+            announcement=standin.announcement(),
+            agent_port=agent_port,
+        )
+        self.announcers.append(endpoint_announcer)
+        endpoint_announcer.start()
+
+    async def stop(self) -> None:
+        """Leave, let running tasks finish within the limit, and close."""
+        await defer.gatherResults(
+            [defer.ensureDeferred(item.leave()) for item in self.announcers]
+        )
+        limit_s = self.reactor.seconds() + self.wanted.leave_limit_s
+        while self.is_busy() and self.reactor.seconds() < limit_s:
+            await task.deferLater(self.reactor, POLL_S)
+        for item in self.announcers:
+            await item.close()
+        for standin in self.standins:
+            await standin.close()
+
+    def is_busy(self) -> bool:
+        """Tell whether a task runs on any endpoint."""
+        return any(
+            standin.is_busy()
+            for standin in self.standins
+            if isinstance(
+                standin, (worker.WorkerStandIn, minion.MinionStandIn)
+            )
+        )
+
+
+def main(arguments: list[str]) -> int:
+    """Run until SIGTERM or SIGINT; return the exit status."""
+    if len(arguments) != 1:
+        sys.stderr.write(USAGE + "\n")
+        return 2
+    loaded = settings.load(pathlib.Path(arguments[0]))
+    if loaded.is_err():
+        sys.stderr.write(loaded.unwrap_err() + "\n")
+        return 2
+    reactor: typing.Any = global_reactor
+    process = Process(reactor=reactor, wanted=loaded.unwrap())
+    ready = process.start()
+    reactor.addSystemEventTrigger(
+        "before", "shutdown", lambda: defer.ensureDeferred(process.stop())
+    )
+    sys.stdout.write(msgspec.json.encode(ready).decode() + "\n")
+    sys.stdout.flush()
+    reactor.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/src/_jasminewind/standins/minion.py
@@ -0,0 +1,149 @@
+"""Stand-in of a minion: slots, connections and a speed factor."""
+
+import collections
+import typing
+
+import msgspec
+from twisted.internet import defer
+from twisted.web import server
+
+from _jasminewind import announcements
+from _jasminewind import members
+from _jasminewind import resources
+from _jasminewind.platform import protocol
+from _jasminewind.standins import payloads
+from _jasminewind.standins import server as standin_server
+
+SLOTS = 8
+CONNECTIONS = 64
+
+
+class MinionStandIn(standin_server.StandIn):
+    """Runs calls in its slots; further calls wait inside."""
+
+    def __init__(
+        self,
+        *,
+        reactor: typing.Any,
+        name: str,
+        port: int = 0,
+        control_port: int = 0,
+        service: str,
+        slots: int = SLOTS,
+        max_connections: int = CONNECTIONS,
+        speed: float = 1.0,
+    ) -> None:
+        super().__init__(
+            reactor=reactor, name=name, port=port, control_port=control_port
+        )
+        self.service = service
+        self.slots = slots
+        self.max_connections = max_connections
+        self.speed = speed
+        self.running = 0
+        self.waiting: collections.deque[defer.Deferred[None]]
+        self.waiting = collections.deque()
+        self.routes = {
+            protocol.HEALTH_PATH: self.health,
+            protocol.CALL_PATH: self.call,
+        }
+
+    def announcement(self) -> announcements.Announcement:
+        """Return what the minion tells the agent beside it."""
+        return announcements.Announcement(
+            name=self.name,
+            kind=members.EndpointKind.MINION,
+            port=self.port,
+            service=self.service,
+            capacity=resources.Resources(slots=float(self.slots)),
+            connections=self.max_connections,
+        )
+
+    def is_busy(self) -> bool:
+        """Tell whether a call runs or waits."""
+        return self.running > 0 or bool(self.waiting)
+
+    async def health(
+        self, body: bytes, request: server.Request
+    ) -> standin_server.Reply:
+        """Answer a health check."""
+        del body, request
+        return standin_server.Reply()
+
+    async def call(
+        self, body: bytes, request: server.Request
+    ) -> standin_server.Reply:
+        """Run one call when a slot is free."""
+        call = msgspec.json.decode(body, type=protocol.Call)
+        if self.running + len(self.waiting) >= self.max_connections:
+            return standin_server.refused("all connections are in use")
+        gone: defer.Deferred[None] = defer.Deferred()
+        request.notifyFinish().addBoth(self.note_gone, gone)
+        if not await self.take_slot(gone):
+            return standin_server.refused("the caller has gone")
+        position = self.starts.begin(call.key)
+        simulation = payloads.decode(call.payload)
+        run_s = simulation.run_s / self.speed
+        try:
+            await self.run(run_s, gone)
+        finally:
+            self.starts.end(position)
+            self.free_slot()
+        if simulation.fail:
+            return failed("the task failed")
+        payload = payloads.output(self.name, call.payload)
+        return standin_server.Reply(
+            body=protocol.CallReply(payload=payload, run_s=run_s)
+        )
+
+    async def fail(
+        self, path: str, body: bytes, request: server.Request
+    ) -> standin_server.Reply:
+        """Fail a call at once; it counts as started."""
+        if path == protocol.CALL_PATH:
+            call = msgspec.json.decode(body, type=protocol.Call)
+            self.starts.end(self.starts.begin(call.key))
+        return await super().fail(path, body, request)
+
+    def note_gone(self, outcome: object, gone: defer.Deferred[None]) -> None:
+        """Note that the answer was sent or that the caller has gone."""
+        del outcome
+        if not gone.called:
+            gone.callback(None)
+
+    async def take_slot(self, gone: defer.Deferred[None]) -> bool:
+        """Wait for a slot; tell whether there is one for this call."""
+        if self.running < self.slots:
+            self.running += 1
+            return True
+        turn: defer.Deferred[None] = defer.Deferred()
+        self.waiting.append(turn)
+        _, winner = await defer.DeferredList(
+            [turn, gone], fireOnOneCallback=True
+        )
+        if winner == 0:
+            return True
+        self.waiting.remove(turn)
+        return False
+
+    def free_slot(self) -> None:
+        """Give the slot to the call that has waited longest."""
+        if self.waiting:
+            self.waiting.popleft().callback(None)
+        else:
+            self.running -= 1
+
+    async def run(self, run_s: float, gone: defer.Deferred[None]) -> None:
+        """Take ``run_s`` seconds, less when the caller goes away."""
+        timer: defer.Deferred[None] = defer.Deferred()
+        call = self.reactor.callLater(run_s, timer.callback, None)
+        await defer.DeferredList([timer, gone], fireOnOneCallback=True)
+        if call.active():
+            call.cancel()
+
+
+def failed(reason: str) -> standin_server.Reply:
+    """Return the answer of a call that failed while it ran."""
+    return standin_server.Reply(
+        status=protocol.FAILED, body=protocol.Refused(reason=reason)
+    )
--- /dev/null
+++ b/src/_jasminewind/standins/server.py
@@ -0,0 +1,303 @@
+"""HTTP+JSON server with switchable faults, the base of every stand-in."""
+
+import collections.abc
+import dataclasses
+import time
+import typing
+import weakref
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import task
+from twisted.web import resource
+from twisted.web import server
+
+from _jasminewind.messages import tasks
+from _jasminewind.platform import protocol
+from _jasminewind.standins import faults
+
+FAULTS_PATH = "/v1/faults"
+STARTS_PATH = "/v1/starts"
+HOST = "127.0.0.1"
+IDLE_CONNECTION_S = 60
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reply:
+    """Status and body of an answer."""
+
+    body: object = protocol.Empty()
+    status: int = protocol.OK
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StartRecord:
+    """A start that was seen; times are wall seconds, 0 while it runs."""
+
+    key: tasks.TaskKey
+    endpoint: str
+    started_s: float
+    ended_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StartList:
+    """Answer to ``GET /v1/starts``, in the order of the starts."""
+
+    starts: tuple[StartRecord, ...]
+
+
+class Starts:
+    """All starts that an endpoint saw, repeated ones included."""
+
+    def __init__(self, endpoint: str) -> None:
+        self.endpoint = endpoint
+        self.records: list[StartRecord] = []
+
+    def begin(self, key: tasks.TaskKey) -> int:
+        """Record a start and return its position."""
+        self.records.append(
+            StartRecord(key=key, endpoint=self.endpoint, started_s=time.time())
+        )
+        return len(self.records) - 1
+
+    def end(self, position: int) -> None:
+        """Record the end of the start at ``position``."""
+        record = self.records[position]
+        self.records[position] = dataclasses.replace(
+            record, ended_s=time.time()
+        )
+
+
+Handler = collections.abc.Callable[
+    [bytes, server.Request], collections.abc.Awaitable[Reply]
+]
+
+
+def refused(
+    reason: str, *, status: int = protocol.UNAVAILABLE, generation: int = 0
+) -> Reply:
+    """Return an answer that proves that the call had no effect."""
+    return Reply(
+        status=status,
+        body=protocol.Refused(
+            reason=reason, not_run=True, generation=generation
+        ),
+    )
+
+
+class Root(resource.Resource):
+    """Gives every request to its stand-in."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, standin: "StandIn", *, is_control: bool) -> None:
+        super().__init__()
+        self.standin = standin
+        self.is_control = is_control
+
+    def render(self, request: server.Request) -> int:
+        """Answer later, by the handler of the path."""
+        done = defer.ensureDeferred(
+            self.standin.answer(request, is_control=self.is_control)
+        )
+        done.addErrback(self.standin.crashed, request)
+        return server.NOT_DONE_YET
+
+
+class StandIn:
+    """A server on a service port and a control port of the loopback.
+
+    ``GET /v1/starts`` and ``POST /v1/faults`` are served on both ports,
+    without faults; the control port also answers while the stand-in is
+    down.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: typing.Any,
+        name: str,
+        port: int = 0,
+        control_port: int = 0,
+    ) -> None:
+        self.reactor = reactor
+        self.name = name
+        self.port = port
+        self.control_port = control_port
+        self.faults = faults.Faults()
+        self.starts = Starts(name)
+        self.routes: dict[str, Handler] = {}
+        self.channels: weakref.WeakSet[typing.Any] = weakref.WeakSet()
+        self.frozen: weakref.WeakSet[typing.Any] = weakref.WeakSet()
+        self.listener: typing.Any = None
+        self.control: typing.Any = None
+
+    def open(self) -> None:
+        """Listen on both ports."""
+        self.control = self.listen(self.control_port, is_control=True)
+        self.control_port = self.control.getHost().port
+        self.open_service()
+
+    def open_service(self) -> None:
+        """Listen on the service port."""
+        self.listener = self.listen(self.port, is_control=False)
+        self.port = self.listener.getHost().port
+
+    def listen(self, port: int, *, is_control: bool) -> typing.Any:
+        """Listen on one port."""
+        site = server.Site(
+            Root(self, is_control=is_control), timeout=IDLE_CONNECTION_S
+        )
+        return self.reactor.listenTCP(port, site, interface=HOST)
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        await self.close_service()
+        if self.control is not None:
+            await defer.maybeDeferred(self.control.stopListening)
+            self.control = None
+
+    async def close_service(self) -> None:
+        """Close the service port and its connections."""
+        listener = self.listener
+        self.listener = None
+        if listener is not None:
+            await defer.maybeDeferred(listener.stopListening)
+        for channel in list(self.channels):
+            abort(channel)
+
+    # Requests.
+
+    async def answer(
+        self, request: server.Request, *, is_control: bool
+    ) -> None:
+        """Answer one request under the faults in force."""
+        path = request.path.decode("utf-8", "replace")
+        content: typing.Any = request.content
+        body = content.read()
+        if path == FAULTS_PATH:
+            await self.change_faults(request, body)
+            return
+        if path == STARTS_PATH:
+            finish(request, Reply(body=self.start_list()))
+            return
+        if not is_control:
+            self.channels.add(request.channel)
+        await self.serve(request, path, body)
+
+    async def serve(
+        self, request: server.Request, path: str, body: bytes
+    ) -> None:
+        """Answer a request of the service."""
+        force = self.faults if self.faults.concerns(path) else faults.Faults()
+        channel = request.channel
+        if force.delay_s > 0:
+            await task.deferLater(self.reactor, force.delay_s)
+        if self.faults.freeze_open and channel in self.frozen:
+            return
+        if force.freeze and not force.drop_answer:
+            return
+        if force.refuse:
+            finish(request, refused("the stand-in refuses everything"))
+            return
+        if force.fail:
+            finish(request, await self.fail(path, body, request))
+            return
+        reply = await self.handle(path, body, request)
+        if force.drop_answer:
+            if not force.freeze:
+                abort(channel)
+            return
+        if self.faults.freeze_open and channel in self.frozen:
+            return
+        finish(request, reply)
+
+    async def handle(
+        self, path: str, body: bytes, request: server.Request
+    ) -> Reply:
+        """Carry a call out."""
+        handler = self.routes.get(path)
+        if handler is None:
+            return refused(f"unknown path {path}", status=protocol.NOT_FOUND)
+        try:
+            return await handler(body, request)
+        except msgspec.MsgspecError as e:
+            return refused(f"malformed: {e}", status=protocol.BAD_REQUEST)
+
+    async def fail(
+        self, path: str, body: bytes, request: server.Request
+    ) -> Reply:
+        """Fail a call at once; endpoints fail only the task in it."""
+        del path, body, request
+        return Reply(
+            status=protocol.FAILED,
+            body=protocol.Refused(reason="the stand-in fails everything"),
+        )
+
+    def crashed(self, reason: typing.Any, request: server.Request) -> None:
+        """Answer 500 when a handler has a fault of its own."""
+        finish(
+            request,
+            Reply(
+                status=protocol.FAILED,
+                body=protocol.Refused(reason=str(reason.value)),
+            ),
+        )
+
+    # Control.
+
+    async def change_faults(
+        self, request: server.Request, body: bytes
+    ) -> None:
+        """Put the faults in the body in force."""
+        if request.method == b"GET":
+            finish(request, Reply(body=self.faults))
+            return
+        decoded = faults.decode(body)
+        if decoded.is_err():
+            finish(
+                request,
+                refused(decoded.unwrap_err(), status=protocol.BAD_REQUEST),
+            )
+            return
+        await self.set_faults(decoded.unwrap(), keep=request.channel)
+        finish(request, Reply(body=self.faults))
+
+    async def set_faults(
+        self, wanted: faults.Faults, *, keep: object = None
+    ) -> None:
+        """Put ``wanted`` in force; the connection ``keep`` stays open."""
+        was = self.faults
+        self.faults = wanted
+        if wanted.freeze_open and not was.freeze_open:
+            self.frozen = weakref.WeakSet(self.channels)
+        if wanted.down and not was.down:
+            if keep is not None:
+                self.channels.discard(keep)
+            await self.close_service()
+        if was.down and not wanted.down:
+            self.open_service()
+
+    def start_list(self) -> StartList:
+        """Return all starts that were seen."""
+        return StartList(starts=tuple(self.starts.records))
+
+
+def abort(channel: typing.Any) -> None:
+    """Close a connection without sending what is buffered."""
+    transport = getattr(channel, "transport", None)
+    if transport is not None:
+        transport.abortConnection()
+
+
+def finish(request: server.Request, reply: Reply) -> None:
+    """Send an answer unless the caller has gone."""
+    if request.finished or getattr(request, "_disconnected", False):
+        return
+    request.setResponseCode(reply.status)
+    request.setHeader(b"content-type", b"application/json")
+    data = msgspec.json.encode(reply.body)
+    request.setHeader(b"content-length", str(len(data)).encode())
+    request.write(data)
+    request.finish()
--- /dev/null
+++ b/src/_jasminewind/standins/worker.py
@@ -0,0 +1,413 @@
+"""Stand-in of a worker: leases, overcommitment, lagging usage reports."""
+
+import collections
+import dataclasses
+import typing
+
+import msgspec
+from twisted.internet import defer
+from twisted.web import server
+
+from _jasminewind import announcements
+from _jasminewind import members
+from _jasminewind import resources
+from _jasminewind.decisions import core
+from _jasminewind.messages import tasks
+from _jasminewind.platform import protocol
+from _jasminewind.standins import payloads
+from _jasminewind.standins import server as standin_server
+
+THROTTLED_SPEED = 0.25
+USAGE_PERIOD_S = 0.5
+USAGE_LAG_S = 1.0
+USAGE_KEPT = 100
+# A holder that polls nothing for this long loses the worker, and what it
+# started is stopped.
+HOLDER_LEASE_S = 30.0
+LEASES_KEPT = 200_000
+DONE_S = 1e-9
+
+
+@dataclasses.dataclass
+class Run:
+    """A running task; ``left_s`` is run time that remains at speed 1."""
+
+    key: tasks.TaskKey
+    payload: str
+    simulation: payloads.Simulation
+    cores: float
+    memory_mb: float
+    left_s: float
+    started_s: float
+    position: int
+    is_throttled: bool = False
+    checkpoints: int = 0
+
+    def factor(self) -> float:
+        """Return the share of full speed at which the task runs."""
+        return THROTTLED_SPEED if self.is_throttled else 1.0
+
+
+class WorkerStandIn(standin_server.StandIn):
+    """Starts whatever it is given, whether it fits or not.
+
+    When the tasks use more cores than there are, all slow down. When they
+    use more memory than there is, the youngest is killed.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: typing.Any,
+        name: str,
+        port: int = 0,
+        control_port: int = 0,
+        capacity: resources.Resources,
+        speed: float = 1.0,
+        can_checkpoint: bool = True,
+        usage_lag_s: float = USAGE_LAG_S,
+        holder_lease_s: float = HOLDER_LEASE_S,
+    ) -> None:
+        super().__init__(
+            reactor=reactor, name=name, port=port, control_port=control_port
+        )
+        self.capacity = capacity
+        self.speed = speed
+        self.can_checkpoint = can_checkpoint
+        self.usage_lag_s = usage_lag_s
+        self.holder_lease_s = holder_lease_s
+        self.instance = f"{name}@{reactor.seconds()}"
+        self.generation = 0
+        self.holder = ""
+        self.holder_seen_s = 0.0
+        self.runs: list[Run] = []
+        self.leases: collections.OrderedDict[str, None]
+        self.leases = collections.OrderedDict()
+        self.events: collections.deque[protocol.EndEvent]
+        self.events = collections.deque()
+        self.sequence = 0
+        self.updated_s = reactor.seconds()
+        self.next_end: typing.Any = None
+        self.waiting: list[defer.Deferred[None]] = []
+        self.usage: collections.deque[tuple[float, tuple[core.Usage, ...]]]
+        self.usage = collections.deque(maxlen=USAGE_KEPT)
+        self.usage_call: typing.Any = None
+        self.routes = {
+            protocol.HEALTH_PATH: self.health,
+            protocol.ATTACH_PATH: self.attach,
+            protocol.START_PATH: self.start,
+            protocol.LEASES_PATH: self.read_leases,
+            protocol.EVENTS_PATH: self.poll,
+            protocol.ORDER_PATH: self.order,
+            protocol.DETACH_PATH: self.detach,
+        }
+
+    def open(self) -> None:
+        """Listen and measure usage."""
+        super().open()
+        self.measure()
+
+    async def close(self) -> None:
+        """Stop measuring and listening."""
+        for call in (self.usage_call, self.next_end):
+            if call is not None and call.active():
+                call.cancel()
+        self.wake()
+        await super().close()
+
+    def announcement(self) -> announcements.Announcement:
+        """Return what the worker tells the agent beside it."""
+        return announcements.Announcement(
+            name=self.name,
+            kind=members.EndpointKind.WORKER,
+            port=self.port,
+            capacity=self.capacity,
+        )
+
+    def is_busy(self) -> bool:
+        """Tell whether a task runs."""
+        return bool(self.runs)
+
+    # Calls.
+
+    async def health(
+        self, body: bytes, request: server.Request
+    ) -> standin_server.Reply:
+        """Answer a health check."""
+        del body, request
+        return standin_server.Reply()
+
+    async def attach(
+        self, body: bytes, request: server.Request
+    ) -> standin_server.Reply:
+        """Accept a holder whose generation is not older."""
+        del request
+        call = msgspec.json.decode(body, type=protocol.Attach)
+        if call.generation < self.generation:
+            return self.stale(call.generation)
+        self.generation = call.generation
+        self.holder = call.holder
+        self.holder_seen_s = self.reactor.seconds()
+        self.wake()
+        return standin_server.Reply(
+            body=protocol.Attached(
+                instance=self.instance,
+                sequence=self.sequence,
+                running=tuple(run.key for run in self.runs),
+            )
+        )
+
+    async def start(
+        self, body: bytes, request: server.Request
+    ) -> standin_server.Reply:
+        """Start every task of a batch, without looking for repeats."""
+        del request
+        call = msgspec.json.decode(body, type=protocol.StartLeases)
+        if not self.is_held_by(call.generation):
+            return self.stale(call.generation)
+        for lease in call.starts:
+            self.begin(lease)
+        return standin_server.Reply()
+
+    async def fail(
+        self, path: str, body: bytes, request: server.Request
+    ) -> standin_server.Reply:
+        """Start tasks as usual and let each fail at once."""
+        reply = await self.handle(path, body, request)
+        if path == protocol.START_PATH:
+            for run in list(self.runs):
+                self.finish_run(run, error="the worker fails everything")
+        return reply
+
+    async def read_leases(
+        self, body: bytes, request: server.Request
+    ) -> standin_server.Reply:
+        """Tell which leases were granted."""
+        del request
+        call = msgspec.json.decode(body, type=protocol.ReadLeases)
+        granted = tuple(item for item in call.lease_ids if item in self.leases)
+        return standin_server.Reply(
+            body=protocol.Leases(instance=self.instance, lease_ids=granted)
+        )
+
+    async def poll(
+        self, body: bytes, request: server.Request
+    ) -> standin_server.Reply:
+        """Wait for events above the number in the call."""
+        del request
+        call = msgspec.json.decode(body, type=protocol.PollEvents)
+        if not self.is_held_by(call.generation):
+            return self.stale(call.generation)
+        while self.events and self.events[0].sequence <= call.after:
+            self.events.popleft()
+        if not self.events:
+            await self.wait(call.wait_s)
+        if call.generation < self.generation:
+            return self.stale(call.generation)
+        self.holder_seen_s = self.reactor.seconds()
+        return standin_server.Reply(
+            body=protocol.Events(
+                instance=self.instance,
+                ends=tuple(
+                    event
+                    for event in self.events
+                    if event.sequence > call.after
+                ),
+                usage=self.due_usage(),
+            )
+        )
+
+    async def order(
+        self, body: bytes, request: server.Request
+    ) -> standin_server.Reply:
+        """Stop, throttle, unthrottle or checkpoint a task."""
+        del request
+        call = msgspec.json.decode(body, type=protocol.Order)
+        if not self.is_held_by(call.generation):
+            return self.stale(call.generation)
+        self.advance()
+        for run in [run for run in self.runs if run.key == call.key]:
+            match call.order:
+                case core.EndpointOrder.STOP:
+                    self.finish_run(run, error="stopped by order")
+                case core.EndpointOrder.THROTTLE:
+                    run.is_throttled = True
+                case core.EndpointOrder.UNTHROTTLE:
+                    run.is_throttled = False
+                case core.EndpointOrder.CHECKPOINT:
+                    if not self.can_checkpoint:
+                        return standin_server.refused(
+                            "this worker cannot checkpoint",
+                            status=protocol.NOT_IMPLEMENTED,
+                        )
+                    run.checkpoints += 1
+        self.plan()
+        return standin_server.Reply()
+
+    async def detach(
+        self, body: bytes, request: server.Request
+    ) -> standin_server.Reply:
+        """Let the holder give the worker up."""
+        del request
+        call = msgspec.json.decode(body, type=protocol.Detach)
+        if call.generation == self.generation:
+            self.holder = ""
+            self.wake()
+        return standin_server.Reply()
+
+    def is_held_by(self, generation: int) -> bool:
+        """Tell whether ``generation`` is the holder's."""
+        return bool(self.holder) and generation == self.generation
+
+    def stale(self, generation: int) -> standin_server.Reply:
+        """Refuse a call of an earlier holder."""
+        return standin_server.refused(
+            f"generation {generation} does not hold this worker, its "
+            f"generation is {self.generation}",
+            status=protocol.CONFLICT,
+            generation=self.generation,
+        )
+
+    # Tasks.
+
+    def begin(self, lease: protocol.LeaseStart) -> None:
+        """Start one task."""
+        self.advance()
+        self.leases[lease.lease_id] = None
+        while len(self.leases) > LEASES_KEPT:
+            self.leases.popitem(last=False)
+        simulation = payloads.decode(lease.payload)
+        cores = simulation.cores
+        memory_mb = simulation.memory_mb
+        run = Run(
+            key=lease.key,
+            payload=lease.payload,
+            simulation=simulation,
+            cores=lease.demand.cores if cores is None else cores,
+            memory_mb=(
+                lease.demand.memory_mb if memory_mb is None else memory_mb
+            ),
+            left_s=simulation.run_s,
+            started_s=self.reactor.seconds(),
+            position=self.starts.begin(lease.key),
+        )
+        self.runs.append(run)
+        used_mb = sum(other.memory_mb for other in self.runs)
+        if used_mb > self.capacity.memory_mb > 0:
+            self.finish_run(run, error="killed: the worker ran out of memory")
+        self.plan()
+
+    def advance(self) -> None:
+        """Account for the time that has passed at the current pace."""
+        now_s = self.reactor.seconds()
+        passed_s = now_s - self.updated_s
+        self.updated_s = now_s
+        if not self.runs:
+            return
+        full_pace = self.full_pace()
+        for run in self.runs:
+            run.left_s -= passed_s * full_pace * run.factor()
+
+    def full_pace(self) -> float:
+        """Return the pace of a task that is not throttled."""
+        used = sum(run.cores * run.factor() for run in self.runs)
+        if used > self.capacity.cores > 0:
+            return self.speed * self.capacity.cores / used
+        return self.speed
+
+    def plan(self) -> None:
+        """Arrange for the next end of a task."""
+        if self.next_end is not None and self.next_end.active():
+            self.next_end.cancel()
+        self.next_end = None
+        if not self.runs:
+            return
+        full_pace = self.full_pace()
+        waits = [run.left_s / (full_pace * run.factor()) for run in self.runs]
+        self.next_end = self.reactor.callLater(
+            max(0.0, min(waits)), self.end_due
+        )
+
+    def end_due(self) -> None:
+        """End the tasks whose run time is over."""
+        self.advance()
+        for run in [run for run in self.runs if run.left_s <= DONE_S]:
+            error = "the task failed" if run.simulation.fail else ""
+            self.finish_run(run, error=error)
+        self.plan()
+
+    def finish_run(self, run: Run, *, error: str) -> None:
+        """Record the end of a task and wake the poll."""
+        self.runs.remove(run)
+        self.starts.end(run.position)
+        self.sequence += 1
+        payload = "" if error else payloads.output(self.name, run.payload)
+        self.events.append(
+            protocol.EndEvent(
+                sequence=self.sequence,
+                key=run.key,
+                run_s=self.reactor.seconds() - run.started_s,
+                payload=payload,
+                error=error,
+            )
+        )
+        self.wake()
+
+    # Polls and usage.
+
+    def wait(self, wait_s: float) -> defer.Deferred[None]:
+        """Return a Deferred that fires on an event or after ``wait_s``."""
+        waiter: defer.Deferred[None] = defer.Deferred()
+        self.waiting.append(waiter)
+        timeout = self.reactor.callLater(wait_s, self.end_wait, waiter)
+
+        def stop_timer(value: None) -> None:
+            if timeout.active():
+                timeout.cancel()
+
+        waiter.addCallback(stop_timer)
+        return waiter
+
+    def end_wait(self, waiter: defer.Deferred[None]) -> None:
+        """Let one poll answer."""
+        if waiter in self.waiting:
+            self.waiting.remove(waiter)
+            waiter.callback(None)
+
+    def wake(self) -> None:
+        """Let all polls answer."""
+        for waiter in list(self.waiting):
+            self.end_wait(waiter)
+
+    def measure(self) -> None:
+        """Measure usage, which polls see after the lag."""
+        now_s = self.reactor.seconds()
+        report = tuple(
+            core.Usage(
+                key=run.key,
+                cores=run.cores * run.factor(),
+                memory_mb=run.memory_mb,
+            )
+            for run in self.runs
+        )
+        self.usage.append((now_s + self.usage_lag_s, report))
+        if self.holder and now_s - self.holder_seen_s > self.holder_lease_s:
+            self.expire_holder()
+        if self.runs and self.usage[0][0] <= now_s:
+            self.wake()
+        self.usage_call = self.reactor.callLater(USAGE_PERIOD_S, self.measure)
+
+    def expire_holder(self) -> None:
+        """Take the worker from a holder that has stopped polling."""
+        self.holder = ""
+        for run in list(self.runs):
+            self.finish_run(run, error="the holder's lease has expired")
+        self.plan()
+
+    def due_usage(self) -> tuple[core.Usage, ...]:
+        """Return the latest measurement that is old enough."""
+        now_s = self.reactor.seconds()
+        latest: tuple[core.Usage, ...] = ()
+        while self.usage and self.usage[0][0] <= now_s:
+            latest = self.usage.popleft()[1]
+        return latest
--- /dev/null
+++ b/testing/platform/test_minions.py
@@ -0,0 +1,105 @@
+"""Tests of the HTTP minion client against its stand-in."""
+
+import pytest
+
+from _jasminewind import errors
+from _jasminewind.decisions import core
+from _jasminewind.platform import minions
+from _jasminewind.standins import faults
+from _jasminewind.standins import minion as minion_standin
+from testing import reactor
+from testing import starts
+
+
+@pytest.fixture
+def standin():
+    """A minion stand-in that listens."""
+    made = minion_standin.MinionStandIn(
+        reactor=reactor.reactor,
+        name="minion-1",
+        service="hutch-orders",
+        slots=2,
+        max_connections=4,
+    )
+    reactor.run(made.open)
+    yield made
+    reactor.run(made.close)
+
+
+@pytest.fixture
+def minion(standin, ends):
+    """A client that is attached to the minion."""
+    made = minions.HttpMinion(
+        reactor=reactor.reactor,
+        host="127.0.0.1",
+        port=standin.port,
+        connections=4,
+    )
+    assert reactor.run(made.attach, ends.on_end, ends.on_usage).unwrap() == ()
+    yield made
+    reactor.run(made.detach)
+
+
+def set_faults(standin, **wanted):
+    """Put faults in force."""
+    reactor.run(standin.set_faults, faults.Faults(**wanted))
+
+
+def test_call_returns_its_payload(minion, ends):
+    """Guards against answers that reach the wrong task."""
+    batch = [starts.task_start(seed, run_s=0.01) for seed in range(4)]
+    for item in batch:
+        reactor.run(minion.start, item)
+    found = ends.wait(4)
+    assert all(found[item.key].error is None for item in batch)
+
+
+def test_failed_call_is_reported_as_failed(minion, ends):
+    """Guards against a failure that is reported as success."""
+    item = starts.task_start(1, fail=True)
+    reactor.run(minion.start, item)
+    end = ends.wait(1)[item.key]
+    assert end.error.failure is errors.EndpointFailure.FAILED
+
+
+def test_frozen_minion_ends_as_unknown(standin, minion, ends):
+    """Guards against a frozen minion that holds its caller forever."""
+    set_faults(standin, freeze=True)
+    item = starts.task_start(1, budget_s=0.1)
+    reactor.run(minion.start, item)
+    end = ends.wait(1)[item.key]
+    assert end.error.failure is errors.EndpointFailure.UNKNOWN
+
+
+def test_lost_answer_ends_as_unknown_and_runs_once(standin, minion, ends):
+    """Guards against a call that is sent again by the HTTP client."""
+    set_faults(standin, drop_answer=True)
+    item = starts.task_start(1)
+    reactor.run(minion.start, item)
+    end = ends.wait(1)[item.key]
+    assert end.error.failure is errors.EndpointFailure.UNKNOWN
+    records = reactor.run(standin.start_list).starts
+    assert [record.key for record in records] == [item.key]
+
+
+@pytest.mark.parametrize("fault", ["down", "refuse"])
+def test_call_that_was_not_accepted_is_not_run(standin, minion, ends, fault):
+    """Guards against a provable refusal that is reported as unknown."""
+    # A call on a connection that breaks meanwhile is rightly unknown.
+    reactor.run(minion.calls.close)
+    set_faults(standin, **{fault: True})
+    item = starts.task_start(1)
+    reactor.run(minion.start, item)
+    end = ends.wait(1)[item.key]
+    assert end.error.failure is errors.EndpointFailure.REFUSED
+
+
+def test_stop_frees_the_slot(standin, minion, ends):
+    """Guards against cancelled calls that keep a minion busy."""
+    item = starts.task_start(1, run_s=50.0)
+    reactor.run(minion.start, item)
+    reactor.run(reactor.until, standin.is_busy)
+    reactor.run(minion.order, item.key, core.EndpointOrder.STOP)
+    end = ends.wait(1)[item.key]
+    assert end.error.failure is errors.EndpointFailure.UNKNOWN
+    reactor.run(reactor.until, lambda: not standin.is_busy())
