Add the entry node and the daemon

Cause: a request needs a process to enter by, and processes need a program.

Change: the entry implements the backend of the remote calls with relay, directory and configuration decisions; jasminewindd reads its role from its settings and shuts down gracefully.

--- a/src/_jasminewind/api/backend.py
+++ b/src/_jasminewind/api/backend.py
@@ -31,6 +31,10 @@
     to the caller as an internal error that may have run.
     """
 
+    @abc.abstractmethod
+    def new_id(self) -> str:
+        """Return an id for a submission that came without one."""
+
     @abc.abstractmethod
     def submit(self, submit: work.Submit) -> defer.Deferred[work.Answer]:
         """Forward a job or a request; fire with its answer."""
--- a/src/_jasminewind/api/submissions.py
+++ b/src/_jasminewind/api/submissions.py
@@ -42,7 +42,7 @@
 
     def new_id(self) -> str:
         """Return an id for a submission that came without one."""
-        return ids.new(wall_ms=self.backend.now().wall_ms, rng=self.rng)
+        return self.backend.new_id()
 
     async def check(
         self, checked: validation.Checked, *, client_id: str
--- a/src/_jasminewind/decisions/ownership.py
+++ b/src/_jasminewind/decisions/ownership.py
@@ -400,12 +400,14 @@
     ) -> core.Actions:
         """Log the outcome of a release."""
         reason = f"shard {shard} is released"
+        choice = "released"
         if reply.error is not None:
+            choice = "not released"
             reason = (
                 f"shard {shard}: release failed "
                 f"({reply.error.failure.value}); release it again"
             )
-        return [core.LogDecision(kind="release", reason=reason)]
+        return [core.LogDecision(kind="release", choice=choice, reason=reason)]
 
     # Rows.
 
--- a/src/_jasminewind/nodes/agent.py
+++ b/src/_jasminewind/nodes/agent.py
@@ -10,6 +10,7 @@
 from _jasminewind.decisions import agentsync
 from _jasminewind.decisions import coordinator
 from _jasminewind.decisions import core
+from _jasminewind.decisions import drain
 from _jasminewind.decisions import keeper
 from _jasminewind.decisions import membership
 from _jasminewind.decisions import ownership
@@ -30,7 +31,7 @@
     state: members.State
     config_version: int
     is_fresh: bool
-    members: int
+    member_count: int
     shards: tuple[int, ...]
     coordinator: coordinator.CoordinatorStatus
     load: members.Load
@@ -158,7 +159,7 @@
             state=self.state(),
             config_version=self.config_sync.current().version,
             is_fresh=self.config_sync.is_fresh(self.timers.now()),
-            members=len(self.membership.view()),
+            member_count=len(self.membership.view()),
             shards=self.ownership.owned(),
             coordinator=self.coordinator.status(),
             load=self.keeper.load(),
@@ -181,23 +182,31 @@
             self.membership.member,
             state=self.state(),
             endpoint=self.endpoint.description(),
-            load=self.keeper.load(),
+            load=self.changed_load(),
             shards=self.ownership.owned(),
             config_version=self.config_sync.current().version,
         )
-        self.perform(
-            self.membership, self.membership.update_self(record, now)
-        )
+        self.perform(self.membership, self.membership.update_self(record, now))
         view = self.membership.view()
         if view != self.shared_view:
             self.shared_view = view
             self.share_view(view)
 
+    def changed_load(self) -> members.Load:
+        """Return the announced load, or a new one if it has changed.
+
+        An unchanged load keeps its sequence, so that it changes no view.
+        """
+        announced = self.membership.member.load
+        load = self.keeper.load()
+        same = dataclasses.replace(load, sequence=announced.sequence)
+        return announced if same == announced else load
+
     def state(self) -> members.State:
         """Return the state that this process announces."""
         if self.is_leaving:
             return members.State.LEAVING
-        if self.keeper.is_draining():
+        if self.keeper.drain.state() is not drain.DrainState.SERVING:
             return members.State.DRAINING
         if self.endpoint.is_attached:
             return members.State.SERVING
--- /dev/null
+++ b/src/_jasminewind/nodes/daemon.py
@@ -0,0 +1,226 @@
+"""The daemon ``jasminewindd``: one process, its role from its settings."""
+
+import pathlib
+import random
+import signal
+import sys
+import time
+import typing
+
+import msgspec
+import structlog
+from twisted.internet import endpoints
+
+from _jasminewind import configuration
+from _jasminewind import logs
+from _jasminewind import members
+from _jasminewind import settings as settings_module
+from _jasminewind import timers
+from _jasminewind.nodes import agent as agents
+from _jasminewind.nodes import local
+from _jasminewind.platform import tables
+
+EXIT_BAD_SETTINGS = 2
+IDLE_CHECK_PERIOD_S = 0.1
+# An entry that is told to leave stays reachable this long, so that the
+# balancer's health check takes it out before its port closes.
+BALANCER_GRACE_S = 3.0
+USAGE = "usage: jasminewindd SETTINGS.json"
+
+
+class Process:
+    """A role with its ports, from start to graceful shutdown."""
+
+    def __init__(
+        self, *, reactor: typing.Any, chosen: settings_module.Settings
+    ) -> None:
+        self.reactor = reactor
+        self.settings = chosen
+        self.timers = timers.TimerService(clock=reactor)
+        self.log = structlog.get_logger("daemon")
+        self.decision_log = logs.DecisionLog(
+            timer_service=self.timers, share=chosen.decision_log_share
+        )
+        self.member = member_from_settings(chosen, wall_ms=wall_ms())
+        # Seeded by the identity of the process, so that a restart draws
+        # other numbers than the process before it.
+        self.rng = random.Random(str(self.member.node))
+        self.table = tables.HttpTable(
+            reactor=reactor, host=chosen.table.host, port=chosen.table.port
+        )
+        self.ports: list[typing.Any] = []
+        self.is_leaving = False
+        self.leaving_since_s = 0.0
+        self.node = self.new_node()
+
+    def new_node(self) -> typing.Any:
+        """Return the node of the chosen role."""
+        if self.settings.role is members.Role.ENTRY:
+            # An agent never imports the remote calls, whose libraries
+            # take most of the memory that a node may use.
+            from _jasminewind.nodes import entry
+
+            return entry.Entry(
+                **self.common(), initial_config=self.initial_config()
+            )
+        seeds = tuple(
+            members.Address(seed.host, seed.port)
+            for seed in self.settings.seeds
+        )
+        return agents.Agent(**self.common(), seeds=seeds)
+
+    def common(self) -> dict[str, typing.Any]:
+        """Return the arguments that every role takes."""
+        return {
+            "reactor": self.reactor,
+            "timer_service": self.timers,
+            "member": self.member,
+            "table": self.table,
+            "decision_log": self.decision_log,
+            "log": self.log,
+            "rng": self.rng,
+        }
+
+    def initial_config(self) -> configuration.Configuration | None:
+        """Return the configuration for an empty table, if one is set."""
+        path = self.settings.initial_config_file
+        if not path:
+            return None
+        text = pathlib.Path(path).read_bytes()
+        return msgspec.json.decode(text, type=configuration.Configuration)
+
+    def start(self) -> None:
+        """Open every port."""
+        self.keep(self.node.links.listen())
+        if self.settings.role is members.Role.ENTRY:
+            from _jasminewind.api import server
+
+            api = server.ApiServer(
+                backend=self.node, clock=self.reactor, rng=self.rng
+            )
+            self.listen(self.settings.api_port, api.site(reactor=self.reactor))
+        else:
+            self.listen(
+                self.settings.local_port,
+                local.site(
+                    announce=self.node.announce,
+                    leave=self.node.leave,
+                    not_ready=self.node.not_ready,
+                    status=self.node.status,
+                ),
+            )
+        self.log.info("started", role=self.settings.role.value)
+
+    def listen(self, port: int, factory: typing.Any) -> None:
+        """Listen on a port of this process."""
+        endpoint = endpoints.TCP4ServerEndpoint(
+            self.reactor, port, backlog=1024, interface=self.settings.host
+        )
+        self.keep(endpoint.listen(factory))
+
+    def keep(self, listening: typing.Any) -> None:
+        """Remember a port, or stop when it cannot be opened."""
+        listening.addCallbacks(self.ports.append, self.cannot_listen)
+
+    def cannot_listen(self, failure: typing.Any) -> None:
+        """Stop: another process uses the port."""
+        self.log.error(
+            "cannot listen; check host and ports in the settings",
+            reason=str(failure.value),
+        )
+        self.stop()
+
+    def on_signal(self) -> None:
+        """Begin a graceful shutdown; a second signal ends at once."""
+        if self.is_leaving:
+            self.log.warning("second signal; stopping with work running")
+            self.stop()
+            return
+        self.is_leaving = True
+        self.leaving_since_s = self.reactor.seconds()
+        self.log.info(
+            "leaving", shutdown_limit_s=self.settings.shutdown_limit_s
+        )
+        self.node.begin_shutdown()
+        self.timers.every(IDLE_CHECK_PERIOD_S, self.stop_when_idle)
+
+    def stop_when_idle(self, now: typing.Any) -> None:
+        """Stop once nothing would be cut short, or at the time limit."""
+        passed_s = now.mono_s - self.leaving_since_s
+        if passed_s > self.settings.shutdown_limit_s:
+            self.log.warning("shutdown limit passed with work running")
+            self.stop()
+        elif self.node.is_idle() and passed_s >= self.grace_s():
+            self.stop()
+
+    def grace_s(self) -> float:
+        """Return how long to stay reachable at least."""
+        if self.settings.role is members.Role.ENTRY:
+            return BALANCER_GRACE_S
+        return 0.0
+
+    def stop(self) -> None:
+        """Close every socket and end the process."""
+        if not self.reactor.running:
+            self.reactor.callWhenRunning(self.stop)
+            return
+        self.node.stop()
+        self.decision_log.close()
+        for port in self.ports:
+            port.stopListening()
+        self.log.info("stopped")
+        # Written messages leave the process before it ends.
+        self.reactor.callLater(0.2, self.end_reactor)
+
+    def end_reactor(self) -> None:
+        """End the reactor, once."""
+        if self.reactor.running:
+            self.reactor.stop()
+
+
+def member_from_settings(
+    chosen: settings_module.Settings, *, wall_ms: int
+) -> members.Member:
+    """Return the record that a process announces about itself at start."""
+    return members.Member(
+        node=members.NodeId(chosen.name, wall_ms),
+        address=members.Address(chosen.host, chosen.port),
+        role=chosen.role,
+        region=chosen.region,
+        failure_domain=chosen.failure_domain,
+        rack=chosen.rack,
+    )
+
+
+def wall_ms() -> int:
+    """Return the wall time in Unix milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
+def main() -> None:
+    """Run a process until it is told to leave."""
+    if len(sys.argv) != 2 or sys.argv[1] in ("-h", "--help"):
+        print(USAGE, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    read = settings_module.load(pathlib.Path(sys.argv[1]))
+    if read.is_err():
+        print(read.unwrap_err(), file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    chosen = read.unwrap()
+    logs.configure(level=chosen.log_level, node=chosen.name)
+
+    from twisted.internet import reactor as installed
+
+    reactor = typing.cast(typing.Any, installed)
+    process = Process(reactor=reactor, chosen=chosen)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(
+            number,
+            lambda _number, _frame: reactor.callFromThread(process.on_signal),
+        )
+    reactor.callWhenRunning(process.start)
+    reactor.run(installSignalHandlers=False)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/_jasminewind/nodes/entry.py
@@ -0,0 +1,351 @@
+"""The entry: remote calls of callers and operators, forwarded to agents."""
+
+import collections.abc
+import dataclasses
+import itertools
+import random
+import typing
+
+import result
+from twisted.internet import defer
+
+from _jasminewind import changes
+from _jasminewind import configuration
+from _jasminewind import ids
+from _jasminewind import members
+from _jasminewind import timers
+from _jasminewind.api import backend
+from _jasminewind.decisions import core
+from _jasminewind.decisions import directory
+from _jasminewind.decisions import entrysync
+from _jasminewind.decisions import proposals
+from _jasminewind.decisions import relay
+from _jasminewind.messages import work
+from _jasminewind.nodes import node
+from _jasminewind.nodes import releases
+from _jasminewind.platform import client
+
+REFRESH_PERIOD_S = 0.2
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntryStatus:
+    """Counts of an entry. Bytes are those of links since the start."""
+
+    node: str
+    config_version: int
+    is_fresh: bool
+    member_count: int
+    entry_count: int
+    shards_owned: int
+    in_flight: int
+    bytes_in: int
+    bytes_out: int
+
+
+class Entry(node.Node, backend.Backend):
+    """A thin entry instance behind the platform's balancer."""
+
+    def __init__(
+        self,
+        *,
+        reactor: typing.Any,
+        timer_service: timers.TimerService,
+        member: members.Member,
+        table: client.Table,
+        decision_log: node.DecisionLog,
+        log: typing.Any,
+        rng: random.Random,
+        initial_config: configuration.Configuration | None = None,
+    ) -> None:
+        super().__init__(
+            reactor=reactor,
+            timer_service=timer_service,
+            member=member,
+            table=table,
+            decision_log=decision_log,
+            log=log,
+        )
+        self.initial_config = initial_config
+        self.rng = rng
+        self.directory = directory.Directory(member=member, rng=rng)
+        self.relay = relay.Relay(
+            member=member, directory=self.directory, rng=rng
+        )
+        self.config_sync = entrysync.EntryConfigSync(member=member, rng=rng)
+        self.releases = releases.Releases(node=self, member=member, rng=rng)
+        self.tickets = itertools.count(1)
+        self.waiting: dict[int, defer.Deferred[typing.Any]] = {}
+        self.entry_made: set[str] = set()
+        self.config_waiters: list[defer.Deferred[typing.Any]] = []
+        self.is_leaving = False
+        self.initial_proposed = False
+        self.shared_view: tuple[members.Member, ...] = ()
+        self.handlers[core.Deliver] = self._deliver
+        self.handlers[proposals.ProposalEnd] = self._proposal_end
+        self.handlers[core.LogDecision] = self._log_and_note
+        for decision in (self.config_sync, self.directory, self.relay):
+            self.add(decision)
+        self.ticks.append(timer_service.every(REFRESH_PERIOD_S, self.refresh))
+
+    # The interface of the remote calls.
+
+    def new_id(self) -> str:
+        """Return an id on a shard that can take new work."""
+        now = self.timers.now()
+        work_id = self.relay.new_id(now)
+        if work_id is None:
+            # The relay refuses it as not run, since no shard has an owner.
+            return ids.new(wall_ms=now.wall_ms, rng=self.rng)
+        self.entry_made.add(work_id)
+        return work_id
+
+    def submit(self, submit: work.Submit) -> defer.Deferred[work.Answer]:
+        """Forward a job or a request; fire with its answer."""
+        entry_made = submit.work_id in self.entry_made
+        self.entry_made.discard(submit.work_id)
+        return self._ask(
+            lambda ticket, now: self.relay.submit(
+                ticket, submit, now, entry_made=entry_made
+            )
+        )
+
+    def cancel(self, work_id: str) -> None:
+        """Tell the owner that nobody waits for the answer any more."""
+        actions = self.relay.cancel(work_id, self.timers.now())
+        self.perform(self.relay, actions)
+
+    def query(self, work_id: str) -> defer.Deferred[work.WorkStatus]:
+        """Fire with the state of a job or a request."""
+        return self._ask(
+            lambda ticket, now: self.relay.query(ticket, work_id, now)
+        )
+
+    def explain(self, work_id: str) -> defer.Deferred[work.ExplainReply]:
+        """Fire with the decisions on an id, of the owner and this entry."""
+        asking = self._ask(
+            lambda ticket, now: self.relay.explain(ticket, work_id, now)
+        )
+        return asking.addCallback(self._add_own_decisions)
+
+    def config(self) -> configuration.Configuration:
+        """Return the configuration in force."""
+        return self.config_sync.current()
+
+    def propose(
+        self, change: changes.ConfigChange
+    ) -> defer.Deferred[backend.ProposeResult]:
+        """Make a change; the services have checked it."""
+        base = self.config()
+        applied = changes.apply(base, change)
+        if isinstance(applied, result.Err):
+            # The configuration moved on since the services checked it.
+            # The proposal then ends with the conflict that won.
+            new_config = base
+        else:
+            new_config = applied.ok_value
+        proposal = proposals.Proposal(
+            change_id=change.change_id,
+            expected_version=change.expected_version,
+            new_config=new_config,
+        )
+        return self._propose(proposal)
+
+    def wait_config(
+        self, after_version: int, timeout_s: float
+    ) -> defer.Deferred[configuration.Configuration]:
+        """Fire with a newer configuration, or at the timeout as it is."""
+        if self.config().version > after_version:
+            return defer.succeed(self.config())
+        waiter: defer.Deferred[configuration.Configuration] = defer.Deferred()
+        self.config_waiters.append(waiter)
+        self.timers.after(timeout_s, lambda now: self._wake(waiter))
+        return waiter
+
+    def members(self) -> tuple[members.Member, ...]:
+        """Return the live members of all cells."""
+        return self.directory.members()
+
+    def release_shard(
+        self, shard: int
+    ) -> defer.Deferred[result.Result[None, str]]:
+        """Close a shard's row so that any agent may claim it."""
+        return self.releases.release(shard)
+
+    def is_ready(self) -> backend.Readiness:
+        """Tell whether the entry is fresh and not shutting down."""
+        reason = ""
+        if self.is_leaving:
+            reason = "it is shutting down"
+        elif self.config().version == 0:
+            reason = "it has no configuration yet"
+        elif not self.config_sync.is_fresh(self.timers.now()):
+            reason = "neither the table nor other entries answer it"
+        return backend.Readiness(ready=not reason, reason=reason)
+
+    def now(self) -> core.Instant:
+        """Return the current instant."""
+        return self.timers.now()
+
+    # Life cycle.
+
+    def begin_shutdown(self) -> None:
+        """Take no new work."""
+        self.is_leaving = True
+
+    def is_idle(self) -> bool:
+        """Tell whether every submission has its answer."""
+        return self.relay.in_flight() == 0 and not self.waiting
+
+    def status(self) -> EntryStatus:
+        """Return the counts of this entry."""
+        bytes_in, bytes_out = self.links.traffic()
+        shards = range(self.config().shard_count)
+        owned = [s for s in shards if self.directory.load_of(s) is not None]
+        return EntryStatus(
+            node=str(self.member.node),
+            config_version=self.config().version,
+            is_fresh=self.config_sync.is_fresh(self.timers.now()),
+            member_count=len(self.directory.members()),
+            entry_count=len(self.config_sync.entries()),
+            shards_owned=len(owned),
+            in_flight=self.relay.in_flight(),
+            bytes_in=bytes_in,
+            bytes_out=bytes_out,
+        )
+
+    def stop(self) -> None:
+        """Close every socket."""
+        self.stop_ticks()
+        self.links.stop()
+
+    def apply_config(self, config: configuration.Configuration) -> None:
+        """Put a configuration in force and wake who waits for it."""
+        super().apply_config(config)
+        self.releases.ownership.on_config(config, self.timers.now())
+        for waiter in list(self.config_waiters):
+            self._wake(waiter)
+
+    def refresh(self, now: core.Instant) -> None:
+        """Share the view of the members and of the entries."""
+        contacts = self.config_sync.entries()
+        self.directory.set_entries(contacts)
+        self.relay.set_entry_count(len(contacts))
+        self._propose_initial(now)
+        view = self.directory.members()
+        if view is not self.shared_view:
+            self.shared_view = view
+            self.share_view(view)
+            self.releases.ownership.on_members(view, now)
+
+    # Parts.
+
+    def _ask(
+        self,
+        begin: collections.abc.Callable[[int, core.Instant], core.Actions],
+    ) -> defer.Deferred[typing.Any]:
+        ticket = next(self.tickets)
+        waiter: defer.Deferred[typing.Any] = defer.Deferred(
+            lambda _: self._forget(ticket)
+        )
+        self.waiting[ticket] = waiter
+        self.perform(self.relay, begin(ticket, self.timers.now()))
+        return waiter
+
+    def _forget(self, ticket: int) -> None:
+        self.waiting.pop(ticket, None)
+        self.relay.forget(ticket)
+
+    def _deliver(self, decision: core.Decision, action: core.Deliver) -> None:
+        del decision
+        waiter = self.waiting.pop(action.ticket, None)
+        if waiter is not None:
+            waiter.callback(action.message)
+
+    def _add_own_decisions(
+        self, reply: work.ExplainReply
+    ) -> work.ExplainReply:
+        own = self.decision_log.explain(reply.work_id)
+        return dataclasses.replace(reply, entries=own + reply.entries)
+
+    def _propose(
+        self, proposal: proposals.Proposal
+    ) -> defer.Deferred[backend.ProposeResult]:
+        ticket = next(self.tickets)
+        waiter: defer.Deferred[backend.ProposeResult] = defer.Deferred(
+            lambda _: self._forget(ticket)
+        )
+        self.waiting[ticket] = waiter
+        now = self.timers.now()
+        actions = self.config_sync.propose(ticket, proposal, now)
+        self.perform(self.config_sync, actions)
+        return waiter
+
+    def _proposal_end(
+        self, decision: core.Decision, action: proposals.ProposalEnd
+    ) -> None:
+        del decision
+        waiter = self.waiting.pop(action.ticket, None)
+        if waiter is not None:
+            waiter.callback(proposal_result(action))
+
+    def _propose_initial(self, now: core.Instant) -> None:
+        """Write the first configuration when the table has none."""
+        if self.initial_config is None or self.initial_proposed:
+            return
+        if self.config().version > 0:
+            return
+        if self.config_sync.registry.read_s is None:
+            return
+        self.initial_proposed = True
+        change_id = f"initial-{self.member.node.name}"
+        proposal = proposals.Proposal(
+            change_id=change_id,
+            expected_version=0,
+            new_config=dataclasses.replace(
+                self.initial_config,
+                version=1,
+                change_ids=(change_id,),
+                author=self.member.node.name,
+            ),
+        )
+        self._propose(proposal).addCallback(self._initial_ended)
+
+    def _initial_ended(self, outcome: backend.ProposeResult) -> None:
+        match outcome:
+            case result.Err(changes.ConfigUnavailable()):
+                self.initial_proposed = False
+
+    def _wake(self, waiter: defer.Deferred[typing.Any]) -> None:
+        if waiter in self.config_waiters:
+            self.config_waiters.remove(waiter)
+            waiter.callback(self.config())
+
+    def _log_and_note(
+        self, decision: core.Decision, action: core.LogDecision
+    ) -> None:
+        self._log(decision, action)
+        if decision is self.releases.ownership:
+            self.releases.logged(action)
+
+
+def proposal_result(end: proposals.ProposalEnd) -> backend.ProposeResult:
+    """Return the end of a proposal in the terms of the remote calls."""
+    match end.status:
+        case proposals.ProposalStatus.ACCEPTED:
+            return result.Ok(
+                changes.ConfigAccepted(version=end.config.version)
+            )
+        case proposals.ProposalStatus.CONFLICT:
+            winner = end.config.change_ids[-1] if end.config.change_ids else ""
+            return result.Err(
+                changes.ConfigConflict(
+                    version=end.config.version,
+                    change_id=winner,
+                    author=end.config.author,
+                )
+            )
+        case proposals.ProposalStatus.NOT_WRITTEN:
+            return result.Err(changes.ConfigUnavailable(reason=end.reason))
+        case proposals.ProposalStatus.UNKNOWN:
+            return result.Err(changes.ConfigUnknown(reason=end.reason))
--- a/src/_jasminewind/nodes/local.py
+++ b/src/_jasminewind/nodes/local.py
@@ -73,6 +73,11 @@
         return msgspec.json.encode(self.read())
 
 
+def put(parent: resource.Resource, name: bytes, child: object) -> None:
+    """Add ``child``, whose interface twisted declares without types."""
+    parent.putChild(name, typing.cast(typing.Any, child))
+
+
 def site(
     *,
     announce: collections.abc.Callable[[announcements.Announcement], None],
@@ -82,13 +87,13 @@
 ) -> server.Site:
     """Return the site with the agent's local paths."""
     version = resource.Resource()
-    version.putChild(b"announce", Announce(announce))
-    version.putChild(b"leave", Announce(lambda announcement: leave()))
-    version.putChild(b"status", Status(status))
+    put(version, b"announce", Announce(announce))
+    put(version, b"leave", Announce(lambda announcement: leave()))
+    put(version, b"status", Status(status))
     root = resource.Resource()
-    root.putChild(b"v1", version)
-    root.putChild(b"healthz", Health(lambda: ""))
-    root.putChild(b"readyz", Health(not_ready))
+    put(root, b"v1", version)
+    put(root, b"healthz", Health(lambda: ""))
+    put(root, b"readyz", Health(not_ready))
     # Requests of one endpoint and of health checks need no access log.
     found = server.Site(root)
     found.noisy = False
