--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 SOURCES := src testing bench spec tools
+# Programs use the code of this tree, also when several trees share a VENV.
+export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
 .PHONY: demo test lint format model bench slopes scale schema fuzz
 
--- /dev/null
+++ b/src/_jasminewind/experiment/fleets.py
@@ -0,0 +1,228 @@
+"""A fleet of real processes, started from separate settings files."""
+
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import typing
+import urllib.error
+import urllib.request
+
+import msgspec
+
+from _jasminewind import settings
+from _jasminewind.experiment import layout as layouts
+from _jasminewind.standins import settings as standin_settings
+
+DAEMON = "_jasminewind.nodes.daemon"
+STANDINS = "_jasminewind.standins.main"
+POLL_S = 0.05
+START_LIMIT_S = 60.0
+STOP_LIMIT_S = 30.0
+
+
+class FleetError(Exception):
+    """A fleet that did not come up or went wrong."""
+
+
+class Fleet:
+    """Processes of one layout, by name."""
+
+    def __init__(
+        self, layout: layouts.Layout, *, folder: pathlib.Path
+    ) -> None:
+        self.layout = layout
+        self.folder = folder
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self) -> None:
+        """Start the stand-ins, the entries and the agents."""
+        self.start_standins()
+        for chosen in (*self.layout.entries, *self.layout.agents):
+            self.start_daemon(chosen)
+
+    def start_standins(self) -> None:
+        """Start the platform in one process and the endpoints in others."""
+        self.start_standin("platform", (self.layout.table,))
+        self.start_standin("balancer", (self.layout.balancer,))
+        self.start_standin("minions", self.layout.minions)
+        self.start_standin("workers", self.layout.workers)
+
+    def start_standin(
+        self, name: str, standins: tuple[typing.Any, ...]
+    ) -> None:
+        """Start a process that runs ``standins``."""
+        wanted = standin_settings.Settings(standins=standins)
+        path = self.folder / f"{name}.json"
+        path.write_bytes(msgspec.json.encode(wanted))
+        self.spawn(name, STANDINS, path)
+
+    def start_daemon(self, chosen: settings.Settings) -> None:
+        """Start an entry or an agent from its own settings file."""
+        path = self.folder / f"{chosen.name}.json"
+        path.write_bytes(msgspec.json.encode(chosen))
+        self.spawn(chosen.name, DAEMON, path)
+
+    def spawn(self, name: str, module: str, path: pathlib.Path) -> None:
+        """Start a process whose output goes to a file of its own."""
+        with open(self.folder / f"{name}.log", "ab") as output:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", module, str(path)],
+                stdout=output,
+                stderr=output,
+                stdin=subprocess.DEVNULL,
+                env=environment(),
+            )
+
+    def settings_of(self, name: str) -> settings.Settings:
+        """Return the settings of an entry or an agent."""
+        known = (*self.layout.entries, *self.layout.agents)
+        return next(chosen for chosen in known if chosen.name == name)
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def pause(self, name: str) -> None:
+        """Stop a process without ending it."""
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Continue a paused process."""
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> int:
+        """Ask a process to leave gracefully; return its exit status."""
+        process = self.processes.pop(name)
+        process.terminate()
+        return process.wait(STOP_LIMIT_S)
+
+    def restart(self, name: str) -> None:
+        """Replace an entry or an agent at the same address."""
+        self.start_daemon(self.settings_of(name))
+
+    def stop(self) -> None:
+        """End every process of the fleet."""
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.processes.clear()
+
+    def log_of(self, name: str) -> str:
+        """Return what a process has written."""
+        return (self.folder / f"{name}.log").read_text()
+
+    def agent_status(self, name: str) -> dict[str, typing.Any]:
+        """Return the status of an agent, by its local port."""
+        chosen = self.settings_of(name)
+        url = f"http://{chosen.host}:{chosen.local_port}/v1/status"
+        return get(url)
+
+    def wait_ready(self, *, limit_s: float = START_LIMIT_S) -> None:
+        """Return once every entry and endpoint takes work."""
+        until_s = time.monotonic() + limit_s
+        waiting = self.ready_urls()
+        while waiting:
+            waiting = [url for url in waiting if not is_ok(url)]
+            if not waiting:
+                break
+            if time.monotonic() > until_s:
+                raise FleetError(f"not ready after {limit_s} s: {waiting}")
+            time.sleep(POLL_S)
+        self.wait_owned(until_s)
+
+    def ready_urls(self) -> list[str]:
+        """Return the readiness checks of every process."""
+        urls = [
+            f"http://{e.host}:{e.api_port}/readyz"
+            for e in self.layout.entries
+            if e.name in self.processes
+        ]
+        urls += [
+            f"http://{a.host}:{a.local_port}/readyz"
+            for a in self.layout.agents
+            if a.name in self.processes
+        ]
+        return urls
+
+    def wait_owned(self, until_s: float) -> None:
+        """Return once each entry knows an owner of every shard."""
+        for index in range(len(self.layout.entries)):
+            if self.layout.entries[index].name not in self.processes:
+                continue
+            while not self.is_owned(index):
+                if time.monotonic() > until_s:
+                    raise FleetError("shards without an owner")
+                time.sleep(POLL_S)
+
+    def is_owned(self, index: int) -> bool:
+        """Tell whether an entry knows the owner of every shard."""
+        status = self.entry_status(index)
+        return status.get("shardsOwned", 0) == status.get("shardCount", -1)
+
+    def entry_status(self, index: int) -> dict[str, typing.Any]:
+        """Return the status of an entry."""
+        return call(
+            self.layout.entry_url(index),
+            "jasminewind.v1.OperationsService/GetStatus",
+            {},
+        ).body
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reply:
+    """Status and JSON body of a call."""
+
+    status: int
+    body: dict[str, typing.Any]
+
+
+def environment() -> dict[str, str]:
+    """Return an environment in which the child finds this code."""
+    found = dict(os.environ)
+    source = pathlib.Path(__file__).resolve().parents[2]
+    found["PYTHONPATH"] = str(source)
+    return found
+
+
+def get(url: str) -> dict[str, typing.Any]:
+    """Return the JSON at ``url``."""
+    with urllib.request.urlopen(url, timeout=5) as response:
+        return json.load(response)
+
+
+def is_ok(url: str) -> bool:
+    """Tell whether ``url`` answers with success."""
+    try:
+        with urllib.request.urlopen(url, timeout=2):
+            return True
+    except OSError:
+        return False
+
+
+def call(
+    base: str,
+    method: str,
+    body: dict[str, typing.Any],
+    *,
+    timeout_s: float = 60.0,
+) -> Reply:
+    """Make a unary call of the Connect protocol and return its reply."""
+    request = urllib.request.Request(
+        f"{base}/{method}",
+        data=json.dumps(body).encode(),
+        headers={"Content-Type": "application/json"},
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as response:
+            return Reply(status=response.status, body=json.load(response))
+    except urllib.error.HTTPError as e:
+        return Reply(status=e.code, body=json.load(e))
--- a/src/_jasminewind/nodes/daemon.py
+++ b/src/_jasminewind/nodes/daemon.py
@@ -7,7 +7,6 @@
 import time
 import typing
 
-import msgspec
 import structlog
 from twisted.internet import endpoints
 
@@ -86,8 +85,9 @@
         path = self.settings.initial_config_file
         if not path:
             return None
-        text = pathlib.Path(path).read_bytes()
-        return msgspec.json.decode(text, type=configuration.Configuration)
+        from _jasminewind.nodes import initial
+
+        return initial.load(pathlib.Path(path))
 
     def start(self) -> None:
         """Open every port."""
