Add the command line

Cause: callers and operators need the remote calls without writing a client. Change: commands for jobs, requests, configuration and operations over http.client, which keeps imports light; exit codes tell what became of work; fire only plans a command, so that surplus arguments are refused before anything is sent.

--- /dev/null
+++ b/src/_jasminewind/cli/client.py
@@ -0,0 +1,134 @@
+"""HTTP client of the command line.
+
+It uses :mod:`http.client`, because a command makes a few blocking calls
+and exits: importing treq and twisted takes longer than most calls do.
+Nothing is ever sent twice.
+"""
+
+import http.client
+import json
+import typing
+import urllib.parse
+
+from _jasminewind.cli import outcomes
+
+CONNECT_LIMIT_S = 5.0
+# The entry answers at the deadline; its answer needs time to arrive.
+ANSWER_MARGIN_S = 5.0
+DEFAULT_ENTRY = "http://127.0.0.1:7480"
+MAX_TEXT = 300
+
+Body = dict[str, typing.Any]
+
+
+class Client:
+    """Calls remote methods of one entry."""
+
+    def __init__(self, entry: str) -> None:
+        parts = urllib.parse.urlsplit(entry)
+        try:
+            port = parts.port
+        except ValueError:
+            port = None
+        if parts.scheme not in ("http", "https") or not parts.hostname:
+            raise outcomes.bad_input(
+                f"{entry!r} is not the URL of an entry; give "
+                "--entry http://host:port or set JASMINEWIND_ENTRY"
+            )
+        self.entry = entry
+        self.is_secure = parts.scheme == "https"
+        self.host = parts.hostname
+        self.port = port or (443 if self.is_secure else 80)
+
+    def connect(self) -> http.client.HTTPConnection:
+        """Return a new connection; nothing has been sent on it."""
+        kind = (
+            http.client.HTTPSConnection
+            if self.is_secure
+            else http.client.HTTPConnection
+        )
+        connection = kind(self.host, self.port, timeout=CONNECT_LIMIT_S)
+        try:
+            connection.connect()
+        except (OSError, UnicodeError) as e:
+            raise outcomes.CommandError(
+                outcomes.ExitCode.UNREACHABLE,
+                f"cannot reach the entry {self.entry}: {reason(e)}; nothing "
+                "was sent; check --entry or JASMINEWIND_ENTRY, and that the "
+                "entry runs",
+            ) from None
+        return connection
+
+    def call(
+        self,
+        method: str,
+        body: Body,
+        *,
+        limit_s: float,
+        hint: str = "",
+    ) -> Body:
+        """Call ``Service/Method`` and return the response body.
+
+        ``hint`` tells what to do when the answer is lost; without it the
+        call only reads, so a lost answer means no more than unreachable.
+        """
+        connection = self.connect()
+        try:
+            assert connection.sock is not None
+            connection.sock.settimeout(limit_s + ANSWER_MARGIN_S)
+            connection.request(
+                "POST",
+                f"/jasminewind.v1.{method}",
+                json.dumps(body).encode(),
+                {
+                    "Content-Type": "application/json",
+                    "Connect-Protocol-Version": "1",
+                },
+            )
+            response = connection.getresponse()
+            status = response.status
+            text = response.read()
+        except (OSError, http.client.HTTPException) as e:
+            raise lost(self.entry, reason(e), hint) from None
+        finally:
+            connection.close()
+        return self.read(status, text, hint)
+
+    def read(self, status: int, text: bytes, hint: str) -> Body:
+        """Return the response body, or raise the error that it tells."""
+        try:
+            body = json.loads(text)
+        except ValueError:
+            body = None
+        if status == 200 and isinstance(body, dict):
+            return body
+        if not isinstance(body, dict) or "code" not in body:
+            raise lost(
+                self.entry, f"HTTP status {status} without a result", hint
+            )
+        message = str(body.get("message", ""))
+        raise outcomes.CommandError(
+            outcomes.exit_code(body), f"{body['code']}: {message}", body
+        )
+
+
+def reason(error: Exception) -> str:
+    """Return a short reason for a failed connection."""
+    if isinstance(error, TimeoutError):
+        return "no answer in time"
+    if isinstance(error, OSError) and error.strerror:
+        return error.strerror
+    return (str(error) or type(error).__name__)[:MAX_TEXT]
+
+
+def lost(entry: str, text: str, hint: str) -> outcomes.CommandError:
+    """Return the error for a call whose answer was lost."""
+    if hint:
+        return outcomes.CommandError(
+            outcomes.ExitCode.MAY_HAVE_RUN,
+            f"the answer of the entry {entry} was lost ({text}); {hint}",
+        )
+    return outcomes.CommandError(
+        outcomes.ExitCode.UNREACHABLE,
+        f"the entry {entry} gave no answer ({text}); run the command again",
+    )
--- /dev/null
+++ b/src/_jasminewind/cli/configs.py
@@ -0,0 +1,342 @@
+"""Commands for the configuration."""
+
+import getpass
+import typing
+
+from _jasminewind.cli import context
+from _jasminewind.cli import outcomes
+from _jasminewind.cli import output
+
+WATCH_S = 25.0
+PROPOSE_LIMIT_S = 15.0
+OPERATIONS = (
+    "setTeam",
+    "removeTeam",
+    "setService",
+    "removeService",
+    "setPolicy",
+    "setLimits",
+    "drain",
+    "undrain",
+    "replaceAll",
+)
+
+Body = dict[str, typing.Any]
+
+
+def default_author() -> str:
+    """Return the name of the user, as the author of changes."""
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return ""
+
+
+def change_hint(change_id: str) -> str:
+    """Return what to do when the answer to a change was lost."""
+    return (
+        "the change may be in force; run the command again with "
+        f"--change-id {change_id}, which applies it once"
+    )
+
+
+class ConfigCommands:
+    """Read, change and watch the configuration."""
+
+    def __init__(self, shared: context.Context) -> None:
+        # fire would offer a public attribute as a further command.
+        self._shared = shared
+
+    def _current(self) -> Body:
+        """Return the configuration in force."""
+        body = self._shared.call("ConfigService/GetConfig")
+        return typing.cast(Body, body["config"])
+
+    def _propose(
+        self, operation: Body, change_id: str, author: str, version: str = ""
+    ) -> None:
+        """Propose a change and print the version that holds it."""
+        change_id = change_id or context.new_id()
+        body = self._shared.call(
+            "ConfigService/ProposeChange",
+            {
+                "changeId": change_id,
+                "expectedVersion": version or self._current()["version"],
+                "author": author or default_author(),
+                **operation,
+            },
+            limit_s=PROPOSE_LIMIT_S,
+            hint=change_hint(change_id),
+        )
+        self._shared.show(
+            body,
+            lambda: f"change {body['changeId']} is in force as version "
+            f"{body['version']}",
+        )
+
+    @context.command
+    def get(self) -> None:
+        """Print the configuration in force."""
+        config = self._current()
+        self._shared.show(config, lambda: output.configuration(config))
+
+    @context.command
+    def list(self) -> None:
+        """Print the ids of the last changes, newest last."""
+        body = self._shared.call("ConfigService/ListChanges")
+        self._shared.show(
+            body,
+            lambda: "\n".join(
+                (
+                    *body["changeIds"],
+                    f"version {body['version']} by "
+                    f"{body['author'] or 'unknown'}",
+                )
+            ),
+        )
+
+    @context.command
+    def watch(self, *, after: str = "", count: str = "0") -> None:
+        """Print each new version of the configuration.
+
+        Args:
+            after: Print versions above this one; default is the current.
+            count: Stop after this many versions; 0 goes on for ever.
+        """
+        left = context.whole("--count", count)
+        version = after or self._current()["version"]
+        while True:
+            body = self._shared.call(
+                "ConfigService/WatchConfig",
+                {"afterVersion": version, "timeoutS": WATCH_S},
+                limit_s=WATCH_S,
+            )
+            if not body["changed"]:
+                continue
+            config = body["config"]
+            version = config["version"]
+            self._shared.show(config, lambda: changed_text(config))
+            left -= 1
+            if left == 0:
+                return
+
+    @context.command
+    def propose(
+        self, file: str, *, change_id: str = "", author: str = ""
+    ) -> None:
+        """Propose the change in FILE.
+
+        FILE holds a ProposeChangeRequest in JSON. Without expectedVersion
+        it applies to the version now in force. Proposing again with the
+        same change id is safe: the change is applied once.
+
+        Args:
+            file: File with the change.
+            change_id: Id of the change; default is the one in FILE, or new.
+            author: Your name; default is the one in FILE, or your user.
+        """
+        body = context.read_object(file)
+        operation = {k: v for k, v in body.items() if k in OPERATIONS}
+        known = (*OPERATIONS, "changeId", "expectedVersion", "author")
+        unknown = [k for k in body if k not in known]
+        if unknown or len(operation) != 1:
+            raise outcomes.bad_input(
+                f"{file}: need one of {', '.join(OPERATIONS)}"
+                + (f"; unknown: {', '.join(unknown)}" if unknown else "")
+            )
+        self._propose(
+            operation,
+            change_id or body.get("changeId", ""),
+            author or body.get("author", ""),
+            str(body.get("expectedVersion", "")),
+        )
+
+    @context.command
+    def replace(
+        self, file: str, *, change_id: str = "", author: str = ""
+    ) -> None:
+        """Replace the whole configuration by the one in FILE.
+
+        Args:
+            file: File with a Configuration in JSON; see examples/.
+            change_id: Id of the change; the same id is applied once.
+            author: Your name; default is your user.
+        """
+        body = context.read_object(file)
+        self._propose({"replaceAll": body}, change_id, author)
+
+    @context.command
+    def set_team(
+        self,
+        name: str,
+        *,
+        max_in_flight: str = "",
+        starts_per_s: str = "",
+        weight: str = "",
+        change_id: str = "",
+        author: str = "",
+    ) -> None:
+        """Add a team, or change the options that are given.
+
+        Args:
+            name: Name of the team.
+            max_in_flight: Most tasks that are queued or running.
+            starts_per_s: Most task starts per second.
+            weight: Share when teams compete.
+            change_id: Id of the change; the same id is applied once.
+            author: Your name; default is your user.
+        """
+        config = self._current()
+        team: Body = {"name": name}
+        for known in config["teams"]:
+            if known["name"] == name:
+                team = dict(known)
+        if max_in_flight:
+            team["maxInFlight"] = context.whole(
+                "--max-in-flight", max_in_flight
+            )
+        if starts_per_s:
+            team["startsPerS"] = context.number("starts-per-s", starts_per_s)
+        if weight:
+            team["weight"] = context.number("weight", weight)
+        self._propose({"setTeam": team}, change_id, author, config["version"])
+
+    @context.command
+    def remove_team(
+        self, name: str, *, change_id: str = "", author: str = ""
+    ) -> None:
+        """Remove a team; its accepted work still completes.
+
+        Args:
+            name: Name of the team.
+            change_id: Id of the change; the same id is applied once.
+            author: Your name; default is your user.
+        """
+        self._propose({"removeTeam": name}, change_id, author)
+
+    @context.command
+    def set_service(
+        self, file: str, *, change_id: str = "", author: str = ""
+    ) -> None:
+        """Add or replace the service in FILE.
+
+        Args:
+            file: File with a Service in JSON: a name and its methods.
+            change_id: Id of the change; the same id is applied once.
+            author: Your name; default is your user.
+        """
+        body = context.read_object(file)
+        self._propose({"setService": body}, change_id, author)
+
+    @context.command
+    def remove_service(
+        self, name: str, *, change_id: str = "", author: str = ""
+    ) -> None:
+        """Remove a service; its accepted work still completes.
+
+        Args:
+            name: Name of the service.
+            change_id: Id of the change; the same id is applied once.
+            author: Your name; default is your user.
+        """
+        self._propose({"removeService": name}, change_id, author)
+
+    @context.command
+    def set_policy(
+        self,
+        *,
+        routing: str = "",
+        long_task_s: str = "",
+        reserved_share: str = "",
+        retry_budget: str = "",
+        shed_by_deadline: str = "",
+        fair_share: str = "",
+        separate_long_work: str = "",
+        change_id: str = "",
+        author: str = "",
+    ) -> None:
+        """Change the options of the policy that are given.
+
+        Args:
+            routing: expected_completion, random, round_robin or
+                least_outstanding.
+            long_task_s: Seconds above which work is long.
+            reserved_share: Share of an endpoint that long work may not use.
+            retry_budget: Retries per successful task.
+            shed_by_deadline: Refuse work that would miss its deadline.
+            fair_share: Share between teams by weight.
+            separate_long_work: Keep long work off the reserved share.
+            change_id: Id of the change; the same id is applied once.
+            author: Your name; default is your user.
+        """
+        config = self._current()
+        policy = dict(config["policy"])
+        if routing:
+            policy["routing"] = routing
+        numbers = {
+            "longTaskS": ("long-task-s", long_task_s),
+            "reservedShare": ("reserved-share", reserved_share),
+            "retryBudget": ("retry-budget", retry_budget),
+        }
+        for field, (option, text) in numbers.items():
+            if text:
+                policy[field] = context.number(option, text)
+        flags = {
+            "shedByDeadline": ("shed-by-deadline", shed_by_deadline),
+            "fairShare": ("fair-share", fair_share),
+            "separateLongWork": ("separate-long-work", separate_long_work),
+        }
+        for field, (option, text) in flags.items():
+            if text:
+                policy[field] = context.flag(option, text)
+        self._propose(
+            {"setPolicy": policy}, change_id, author, config["version"]
+        )
+
+    @context.command
+    def set_limits(
+        self,
+        *,
+        max_tasks: str = "",
+        max_deadline_s: str = "",
+        max_body_bytes: str = "",
+        max_queued: str = "",
+        change_id: str = "",
+        author: str = "",
+    ) -> None:
+        """Change the limits that are given.
+
+        Args:
+            max_tasks: Most tasks of a job, at most 110.
+            max_deadline_s: Longest deadline in seconds.
+            max_body_bytes: Largest body of a request.
+            max_queued: Most tasks that wait at one coordinator.
+            change_id: Id of the change; the same id is applied once.
+            author: Your name; default is your user.
+        """
+        config = self._current()
+        limits = dict(config["limits"])
+        given = {
+            "maxTasks": ("--max-tasks", max_tasks),
+            "maxBodyBytes": ("--max-body-bytes", max_body_bytes),
+            "maxQueued": ("--max-queued", max_queued),
+        }
+        for field, (option, text) in given.items():
+            if text:
+                limits[field] = context.whole(option, text)
+        if max_deadline_s:
+            limits["maxDeadlineS"] = context.number(
+                "max-deadline-s", max_deadline_s
+            )
+        self._propose(
+            {"setLimits": limits}, change_id, author, config["version"]
+        )
+
+
+def changed_text(config: Body) -> str:
+    """Return one line about a new version."""
+    return (
+        f"version {config['version']} by {config['author'] or 'unknown'}: "
+        f"{len(config['teams'])} teams, {len(config['services'])} services, "
+        f"{len(config['drained'])} drained"
+    )
--- /dev/null
+++ b/src/_jasminewind/cli/context.py
@@ -0,0 +1,151 @@
+"""What all commands share: the entry, the form of output, input files."""
+
+import collections.abc
+import dataclasses
+import functools
+import json
+import os
+import pathlib
+import random
+import time
+import typing
+
+from _jasminewind import ids
+from _jasminewind.cli import client
+from _jasminewind.cli import outcomes
+from _jasminewind.cli import output
+
+ENTRY_VARIABLE = "JASMINEWIND_ENTRY"
+READ_LIMIT_S = 10.0
+
+Body = dict[str, typing.Any]
+
+
+class Plan:
+    """A command that was read but has not run.
+
+    fire calls a command before it notices surplus arguments. So commands
+    only return a plan, which is run once the whole line was understood.
+    """
+
+    def __init__(self, action: collections.abc.Callable[[], None]) -> None:
+        # fire would offer a public attribute as a further command.
+        self._action = action
+
+    def __dir__(self) -> list[str]:
+        return []
+
+
+def run(plan: Plan) -> None:
+    """Run a command."""
+    plan._action()
+
+
+def command(
+    function: collections.abc.Callable[..., None],
+) -> collections.abc.Callable[..., Plan]:
+    """Make a function a command that fire plans, and `run` runs."""
+
+    @functools.wraps(function)
+    def planned(*arguments: typing.Any, **options: typing.Any) -> Plan:
+        return Plan(functools.partial(function, *arguments, **options))
+
+    return planned
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Context:
+    """Options that apply to every command."""
+
+    entry: str
+    is_json: bool
+
+    def call(
+        self,
+        method: str,
+        body: Body | None = None,
+        *,
+        limit_s: float = READ_LIMIT_S,
+        hint: str = "",
+    ) -> Body:
+        """Call a remote method; see :meth:`client.Client.call`."""
+        return client.Client(self.entry).call(
+            method, body or {}, limit_s=limit_s, hint=hint
+        )
+
+    def show(
+        self, body: Body, text: collections.abc.Callable[[], str]
+    ) -> None:
+        """Print ``body`` as JSON or as text."""
+        if self.is_json:
+            output.print_json(body)
+        else:
+            print(text())
+
+
+def entry_address(option: str) -> str:
+    """Return the entry to use, by option, environment or default."""
+    return option or os.environ.get(ENTRY_VARIABLE, "") or client.DEFAULT_ENTRY
+
+
+def new_id() -> str:
+    """Return a new UUIDv7."""
+    wall_ms = time.time_ns() // 1_000_000
+    return ids.new(wall_ms=wall_ms, rng=random.SystemRandom())
+
+
+def read_object(path: str) -> Body:
+    """Return the JSON object in a file."""
+    try:
+        text = pathlib.Path(path).read_bytes()
+    except (OSError, ValueError) as e:
+        reason = getattr(e, "strerror", None) or str(e)
+        raise outcomes.bad_input(
+            f"{path}: cannot read the file: {reason}"
+        ) from None
+    return parse_object(path, text)
+
+
+def parse_object(label: str, text: str | bytes) -> Body:
+    """Return the JSON object in ``text``; ``label`` names its source."""
+    try:
+        found = json.loads(text)
+    except json.JSONDecodeError as e:
+        raise outcomes.bad_input(
+            f"{label}: not valid JSON: {e.msg} at line {e.lineno} column "
+            f"{e.colno}"
+        ) from None
+    except (ValueError, RecursionError) as e:
+        raise outcomes.bad_input(f"{label}: not valid JSON: {e}") from None
+    if not isinstance(found, dict):
+        raise outcomes.bad_input(f"{label}: need a JSON object")
+    return found
+
+
+def number(name: str, text: str) -> float:
+    """Return the number in an option."""
+    try:
+        return float(text)
+    except (TypeError, ValueError):
+        raise outcomes.bad_input(
+            f"--{name}: {text!r} is not a number"
+        ) from None
+
+
+def whole(name: str, text: str) -> int:
+    """Return the whole number in an option."""
+    try:
+        return int(text)
+    except (TypeError, ValueError):
+        raise outcomes.bad_input(
+            f"{name}: {text!r} is not a whole number"
+        ) from None
+
+
+def flag(name: str, text: str) -> bool:
+    """Return the value of a yes-or-no option."""
+    if text.lower() in ("true", "yes", "on", "1"):
+        return True
+    if text.lower() in ("false", "no", "off", "0", ""):
+        return False
+    raise outcomes.bad_input(f"--{name}: {text!r} is not true or false")
--- /dev/null
+++ b/src/_jasminewind/cli/outcomes.py
@@ -0,0 +1,68 @@
+"""Exit codes of the command line, and the error that carries one."""
+
+import enum
+import typing
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes; `docs/cli.md` explains what to do about each."""
+
+    COMPLETE = 0
+    FAILED_WHILE_RUNNING = 1
+    BAD_INPUT = 2
+    NOT_RUN = 3
+    MAY_HAVE_RUN = 4
+    UNREACHABLE = 5
+
+
+BAD_INPUT_CODES = frozenset(
+    (
+        "invalid_argument",
+        "not_found",
+        "unimplemented",
+        "failed_precondition",
+    )
+)
+
+
+class CommandError(Exception):
+    """A command that ends with ``exit_code`` and one line of text.
+
+    ``body`` is the error body of the entry, if it sent one.
+    """
+
+    def __init__(
+        self,
+        exit_code: ExitCode,
+        text: str,
+        body: dict[str, typing.Any] | None = None,
+    ) -> None:
+        super().__init__(text)
+        self.exit_code = exit_code
+        self.text = text
+        self.body = body or {"message": text}
+
+
+def bad_input(text: str) -> CommandError:
+    """Return the error for input that the user has to correct."""
+    return CommandError(ExitCode.BAD_INPUT, text)
+
+
+def failure_detail(body: dict[str, typing.Any]) -> dict[str, typing.Any]:
+    """Return the ``FailureDetail`` in an error body, empty without one."""
+    for detail in body.get("details") or ():
+        if detail.get("type") == "jasminewind.v1.FailureDetail":
+            return typing.cast(dict[str, typing.Any], detail.get("debug", {}))
+    return {}
+
+
+def exit_code(body: dict[str, typing.Any]) -> ExitCode:
+    """Return the exit code for an error body of the entry."""
+    outcome = failure_detail(body).get("outcome")
+    if outcome in ("FAILED_WHILE_RUNNING", "MAY_HAVE_RUN"):
+        return ExitCode[outcome]
+    if body.get("code") in BAD_INPUT_CODES:
+        return ExitCode.BAD_INPUT
+    if outcome == "NOT_RUN":
+        return ExitCode.NOT_RUN
+    return ExitCode.MAY_HAVE_RUN
