Keep whole numbers of payloads whole

Cause: protobuf holds the numbers of a Struct as doubles, so a payload of 12 pallets reached endpoints as 12.0. Change: integral numbers are written as integers in forwarded payloads and in responses; responses carry Content-Length.

--- a/src/_jasminewind/api/connect.py
+++ b/src/_jasminewind/api/connect.py
@@ -124,7 +124,22 @@
     body = json_format.MessageToDict(
         message, always_print_fields_with_no_presence=True
     )
-    return json.dumps(body, ensure_ascii=False).encode()
+    return json.dumps(whole_numbers(body), ensure_ascii=False).encode()
+
+
+def whole_numbers(value: typing.Any) -> typing.Any:
+    """Return a JSON value in which whole numbers are integers.
+
+    Protobuf keeps the numbers of a payload as doubles, and would turn 12
+    into 12.0, which many readers do not take for an integer.
+    """
+    if isinstance(value, dict):
+        return {key: whole_numbers(item) for key, item in value.items()}
+    if isinstance(value, list):
+        return [whole_numbers(item) for item in value]
+    if isinstance(value, float) and value.is_integer():
+        return int(value) if abs(value) <= MAX_INTEGER else value
+    return value
 
 
 def decode(body: bytes, kind: type[M]) -> result.Result[M, CallError]:
--- a/src/_jasminewind/api/server.py
+++ b/src/_jasminewind/api/server.py
@@ -197,8 +197,10 @@
 
     def write(self, request: http.Request, message: protobuf.Message) -> bytes:
         """Return the body of a successful response."""
+        body = connect.encode(message)
         request.setHeader("Content-Type", connect.CONTENT_TYPE)
-        return connect.encode(message)
+        request.setHeader("Content-Length", str(len(body)))
+        return body
 
     def write_error(
         self, request: http.Request, error: connect.CallError
@@ -208,4 +210,6 @@
         request.setResponseCode(error.status)
         if error.status == http.UNSUPPORTED_MEDIA_TYPE:
             request.setHeader("Accept-Post", connect.CONTENT_TYPE)
-        return connect.encode_error(error)
+        body = connect.encode_error(error)
+        request.setHeader("Content-Length", str(len(body)))
+        return body
--- a/src/_jasminewind/api/validation.py
+++ b/src/_jasminewind/api/validation.py
@@ -437,7 +437,7 @@
 def payload_text(payload: struct_pb2.Struct) -> str:
     """Return the JSON text of a payload."""
     return json.dumps(
-        json_format.MessageToDict(payload),
+        connect.whole_numbers(json_format.MessageToDict(payload)),
         ensure_ascii=False,
         separators=(",", ":"),
     )
--- a/src/_jasminewind/cli/main.py
+++ b/src/_jasminewind/cli/main.py
@@ -200,8 +200,8 @@
         done = "drained" if method == "Drain" else "not drained"
         self._shared.show(
             reply,
-            lambda: f"{body['name']} is {done} since version "
-            f"{reply['version']} or earlier",
+            lambda: f"{body['name']} is {done} in version "
+            f"{reply['version']}",
         )
 
     @context.command
--- a/testing/api/test_submit.py
+++ b/testing/api/test_submit.py
@@ -71,6 +71,19 @@
     assert connection.response.json["runS"] == 0.1
 
 
+def test_whole_numbers_stay_whole(api, request_body):
+    """Guards against endpoints that get 12.0 pallets instead of 12."""
+    request_body["payload"] = {"pallets": 12, "rows": [1, 2.5, {"n": -3}]}
+    connection = api.call(CALL, request_body)
+    submit = api.backend.submitted[0]
+    text = '{"pallets":12}'
+    assert '"pallets":12' in submit.tasks[0].payload
+    assert '"rows":[1,2.5,{"n":-3}]' in submit.tasks[0].payload
+    assert "12.0" not in submit.tasks[0].payload
+    api.backend.answers[0].callback(complete(submit, text))
+    assert b'"payload": {"pallets": 12}' in connection.response.body
+
+
 @pytest.mark.parametrize(
     "text", ['{"n":9007199254740995}', "not json", "NaN", "1e999"]
 )
