--- a/src/_jasminewind/cli/client.py
+++ b/src/_jasminewind/cli/client.py
@@ -25,16 +25,13 @@
     """Calls remote methods of one entry."""
 
     def __init__(self, entry: str) -> None:
-        parts = urllib.parse.urlsplit(entry)
         try:
+            parts = urllib.parse.urlsplit(entry)
             port = parts.port
         except ValueError:
-            port = None
+            raise bad_address(entry) from None
         if parts.scheme not in ("http", "https") or not parts.hostname:
-            raise outcomes.bad_input(
-                f"{entry!r} is not the URL of an entry; give "
-                "--entry http://host:port or set JASMINEWIND_ENTRY"
-            )
+            raise bad_address(entry)
         self.entry = entry
         self.is_secure = parts.scheme == "https"
         self.host = parts.hostname
@@ -112,6 +109,14 @@
         )
 
 
+def bad_address(entry: str) -> outcomes.CommandError:
+    """Return the error for an address that is not a URL."""
+    return outcomes.bad_input(
+        f"{entry!r} is not the URL of an entry; give --entry "
+        "http://host:port or set JASMINEWIND_ENTRY"
+    )
+
+
 def reason(error: Exception) -> str:
     """Return a short reason for a failed connection."""
     if isinstance(error, TimeoutError):
--- a/src/_jasminewind/cli/main.py
+++ b/src/_jasminewind/cli/main.py
@@ -18,6 +18,12 @@
 from _jasminewind.cli import output
 
 INTERRUPTED = 130
+SWITCHES = (
+    "--json",
+    "--detach",
+    "--even-if-unknown",
+    "--earlier-processes-gone",
+)
 # Lines that hold nothing but the name of a command.
 COMMAND_NAME = re.compile(r"^ {5}[a-z]+(?:_[a-z]+)+$", re.MULTILINE)
 DEFAULT_CALL_DEADLINE_S = 30.0
@@ -274,7 +280,15 @@
         raise outcomes.bad_input(f"initial_config_file: {read.err_value}")
 
 
-def parse(arguments: list[str] | None) -> object:
+def normalized(arguments: list[str]) -> list[str]:
+    """Return the arguments with a value for each switch.
+
+    fire would take the argument after ``--json`` for its value.
+    """
+    return [f"{a}=true" if a in SWITCHES else a for a in arguments]
+
+
+def parse(arguments: list[str]) -> object:
     """Return the plan of the command, or show help or a usage error."""
     # fire would show help in a pager, which hangs in scripts.
     fire.core.Display = show_help
@@ -282,7 +296,7 @@
     fire.parser.DefaultParseValue = str
     return fire.Fire(
         Jasminewind,
-        command=arguments,
+        command=normalized(arguments),
         name="jasminewind",
         serialize=lambda found: (
             None if isinstance(found, context.Plan) else found
@@ -303,7 +317,8 @@
 
 def main(arguments: list[str] | None = None) -> None:
     """Run the command line and exit."""
-    is_json = "--json" in (sys.argv[1:] if arguments is None else arguments)
+    arguments = sys.argv[1:] if arguments is None else arguments
+    is_json = "--json" in arguments
     try:
         plan = parse(arguments)
         if isinstance(plan, context.Plan):
--- /dev/null
+++ b/testing/cli/conftest.py
@@ -0,0 +1,113 @@
+"""A scripted entry on loopback, and a way to run the command line."""
+
+import dataclasses
+import http.server
+import json
+import threading
+
+import pytest
+
+from _jasminewind.cli import main
+
+
+@dataclasses.dataclass
+class Ran:
+    """What a command printed, and its exit code."""
+
+    code: int
+    out: str
+    err: str
+
+
+class Entry:
+    """Answers remote calls from a script and records them."""
+
+    def __init__(self):
+        self.replies = {}
+        self.calls = []
+
+    def answer(self, method, *replies):
+        """Answer calls of ``method`` in this order; the last one stays.
+
+        A reply is a body for status 200, a pair of status and body, or
+        ``None`` to close the connection without an answer.
+        """
+        self.replies[method] = list(replies)
+
+    def refuse(self, method, code, outcome, status=400):
+        """Answer calls of ``method`` with an error."""
+        detail = {"outcome": outcome, "reason": "why"}
+        body = {
+            "code": code,
+            "message": "team: why",
+            "details": [
+                {"type": "jasminewind.v1.FailureDetail", "debug": detail}
+            ],
+        }
+        self.answer(method, (status, body))
+
+    def bodies(self, method):
+        """Return the bodies of the calls of ``method``."""
+        return [body for name, body in self.calls if name == method]
+
+
+@pytest.fixture
+def entry(monkeypatch):
+    """Serve a scripted entry and name it in the environment."""
+    script = Entry()
+
+    class Handler(http.server.BaseHTTPRequestHandler):
+        def do_POST(self):  # noqa: N802
+            method = self.path.removeprefix("/jasminewind.v1.")
+            size = int(self.headers["Content-Length"])
+            script.calls.append((method, json.loads(self.rfile.read(size))))
+            replies = script.replies.get(method, [(501, {})])
+            reply = replies.pop(0) if len(replies) > 1 else replies[0]
+            if reply is None:
+                return
+            status, body = reply if isinstance(reply, tuple) else (200, reply)
+            data = body if isinstance(body, bytes) else json.dumps(body)
+            data = data if isinstance(data, bytes) else data.encode()
+            self.send_response(status)
+            self.send_header("Content-Length", str(len(data)))
+            self.end_headers()
+            self.wfile.write(data)
+
+        def log_message(self, *arguments):
+            """Write no access log."""
+
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+    thread = threading.Thread(
+        target=server.serve_forever, args=(0.01,), daemon=True
+    )
+    thread.start()
+    host, port = server.server_address
+    monkeypatch.setenv("JASMINEWIND_ENTRY", f"http://{host}:{port}")
+    yield script
+    server.shutdown()
+    server.server_close()
+
+
+@pytest.fixture
+def run(capsys):
+    """Return a function that runs one command line."""
+
+    def run_command(*arguments):
+        code = 0
+        try:
+            main.main([str(a) for a in arguments])
+        except SystemExit as e:
+            code = e.code or 0
+        captured = capsys.readouterr()
+        assert "Traceback" not in captured.out + captured.err
+        return Ran(code, captured.out, captured.err)
+
+    return run_command
+
+
+@pytest.fixture
+def job_file(tmp_path):
+    """Return a file with a job."""
+    path = tmp_path / "job.json"
+    path.write_text('{"team": "crew-desk", "tasks": [{"name": "a"}]}')
+    return path
