--- a/src/_jasminewind/api/submissions.py
+++ b/src/_jasminewind/api/submissions.py
@@ -5,6 +5,7 @@
 
 import result
 from twisted.internet import defer
+from twisted.python import failure
 
 from _jasminewind import errors
 from _jasminewind import ids
@@ -141,13 +142,17 @@
     ) -> result.Result[work.WorkState, connect.CallError]:
         """Forward ``submit`` and return once its owner knows it."""
         ended: list[work.Answer] = []
+        failed: list[failure.Failure] = []
         source = self.backend.submit(submit)
-        source.addCallbacks(ended.append, lambda failure: None)
+        source.addCallbacks(ended.append, failed.append)
         until_s = self.clock.seconds() + submit.budget_s
         while self.clock.seconds() < until_s:
             await calls.pause(self.clock, DETACH_POLL_S)
             if ended:
                 return judge(submit, ended[0]).map(lambda a: a.state)
+            if failed:
+                error = self.unexpected(submit.work_id, failed[0].value)
+                return result.Err(error)
             status = await self.look(submit.work_id, QUERY_LIMIT_S)
             if isinstance(status, result.Ok):
                 if status.ok_value.state is not work.WorkState.UNKNOWN:
@@ -190,7 +195,9 @@
             self.backend.cancel(ids.parse(text).unwrap())
         return error
 
-    def unexpected(self, work_id: str, error: Exception) -> connect.CallError:
+    def unexpected(
+        self, work_id: str, error: BaseException | None
+    ) -> connect.CallError:
         """Return the error for a fault of this system."""
         return connect.failure(
             f"internal error: {type(error).__name__}: {error}; report it",
--- a/testing/api/test_submit.py
+++ b/testing/api/test_submit.py
@@ -280,6 +280,37 @@
     assert api.backend.cancelled == []
 
 
+def test_detached_job_reports_what_happens_at_once(api, job):
+    """Guards against a refused job that its caller believes accepted."""
+    job["detach"] = True
+    refused = api.call(SUBMIT, job)
+    broken = api.call(SUBMIT, job)
+    error = errors.WorkError(
+        code=errors.Code.RESOURCE_EXHAUSTED,
+        outcome=errors.Outcome.NOT_RUN,
+        reason="quota",
+    )
+    api.backend.answers[0].callback(
+        work.Answer(
+            work_id=api.backend.submitted[0].work_id,
+            state=work.WorkState.FAILED,
+            error=error,
+        )
+    )
+    api.backend.answers[1].errback(RuntimeError("broken"))
+    api.clock.advance(submissions.DETACH_POLL_S)
+    assert refused.response.failure.outcome == errors_pb2.NOT_RUN
+    assert broken.response.failure.outcome == errors_pb2.MAY_HAVE_RUN
+
+
+def test_detached_job_outlives_its_caller(api, job):
+    """Guards against a detached job that is cancelled with its caller."""
+    job["detach"] = True
+    api.call(SUBMIT, job).lose()
+    api.clock.advance(1)
+    assert api.backend.cancelled == []
+
+
 def test_get_job_shows_progress_answer_and_failure(api):
     """Guards against a finished job that looks unfinished."""
     work_id = api.new_id()
--- a/testing/cli/test_main.py
+++ b/testing/cli/test_main.py
@@ -78,6 +78,14 @@
     assert entry.bodies(SUBMIT)[0]["id"] == WORK_ID
 
 
+def test_switch_does_not_take_the_next_argument(entry, run, job_file):
+    """Guards against `--detach FILE` that reads FILE as the answer yes."""
+    entry.answer(SUBMIT, {"id": WORK_ID, "state": "QUEUED"})
+    ran = run("--json", "job", "submit", "--detach", job_file)
+    assert json.loads(ran.out)["state"] == "QUEUED"
+    assert entry.bodies(SUBMIT)[0]["detach"] is True
+
+
 @pytest.mark.parametrize(
     ("code", "outcome", "exit_code"),
     [
