--- a/testing/api/test_submit.py
+++ b/testing/api/test_submit.py
@@ -71,6 +71,19 @@
     assert connection.response.json["runS"] == 0.1
 
 
+def test_whole_numbers_stay_whole(api, request_body):
+    """Guards against endpoints that get 12.0 pallets instead of 12."""
+    request_body["payload"] = {"pallets": 12, "rows": [1, 2.5, {"n": -3}]}
+    connection = api.call(CALL, request_body)
+    submit = api.backend.submitted[0]
+    text = '{"pallets":12}'
+    assert '"pallets":12' in submit.tasks[0].payload
+    assert '"rows":[1,2.5,{"n":-3}]' in submit.tasks[0].payload
+    assert "12.0" not in submit.tasks[0].payload
+    api.backend.answers[0].callback(complete(submit, text))
+    assert b'"payload": {"pallets": 12}' in connection.response.body
+
+
 @pytest.mark.parametrize(
     "text", ['{"n":9007199254740995}', "not json", "NaN", "1e999"]
 )
@@ -267,6 +280,37 @@
     assert api.backend.cancelled == []
 
 
+def test_detached_job_reports_what_happens_at_once(api, job):
+    """Guards against a refused job that its caller believes accepted."""
+    job["detach"] = True
+    refused = api.call(SUBMIT, job)
+    broken = api.call(SUBMIT, job)
+    error = errors.WorkError(
+        code=errors.Code.RESOURCE_EXHAUSTED,
+        outcome=errors.Outcome.NOT_RUN,
+        reason="quota",
+    )
+    api.backend.answers[0].callback(
+        work.Answer(
+            work_id=api.backend.submitted[0].work_id,
+            state=work.WorkState.FAILED,
+            error=error,
+        )
+    )
+    api.backend.answers[1].errback(RuntimeError("broken"))
+    api.clock.advance(submissions.DETACH_POLL_S)
+    assert refused.response.failure.outcome == errors_pb2.NOT_RUN
+    assert broken.response.failure.outcome == errors_pb2.MAY_HAVE_RUN
+
+
+def test_detached_job_outlives_its_caller(api, job):
+    """Guards against a detached job that is cancelled with its caller."""
+    job["detach"] = True
+    api.call(SUBMIT, job).lose()
+    api.clock.advance(1)
+    assert api.backend.cancelled == []
+
+
 def test_get_job_shows_progress_answer_and_failure(api):
     """Guards against a finished job that looks unfinished."""
     work_id = api.new_id()
