--- a/src/_jasminewind/decisions/keeper.py
+++ b/src/_jasminewind/decisions/keeper.py
@@ -120,7 +120,7 @@
         self.refused = tombstones.KeyMemory()
         self.finished = tombstones.KeyMemory()
         self.drain = drain.new_drain()
-        self.drained_by_operator = False
+        self.drained_names: tuple[str, ...] = ()
         self.drained_locally = False
         self.is_attached = False
         self.announced_s: float | None = None
@@ -166,7 +166,7 @@
         if self.capacity.endpoint == endpoint:
             return []
         self.capacity.endpoint = endpoint
-        return self.advance(now)
+        return self.update_drain(now) + self.advance(now)
 
     def on_attached(
         self, running: tuple[tasks.TaskKey, ...], now: core.Instant
@@ -217,11 +217,7 @@
         """Apply the policy and the operator's drains."""
         self.now_s = now.mono_s
         self.capacity.policy = config.policy
-        endpoint = self.capacity.endpoint
-        names = {self.node.name}
-        if endpoint is not None:
-            names.add(endpoint.name)
-        self.drained_by_operator = bool(names.intersection(config.drained))
+        self.drained_names = config.drained
         return self.update_drain(now)
 
     def begin_drain(self, now: core.Instant) -> core.Actions:
@@ -625,7 +621,7 @@
 
     def update_drain(self, now: core.Instant) -> core.Actions:
         """Move the drain machine to what operator and node ask for."""
-        wanted = self.drained_by_operator or self.drained_locally
+        wanted = self.drained_locally or self.is_drained_by_operator()
         was_serving = self.drain.state() is drain.DrainState.SERVING
         if not wanted:
             self.drain.cancel()
@@ -644,6 +640,14 @@
         self.update_drained()
         return actions
 
+    def is_drained_by_operator(self) -> bool:
+        """Tell whether the configuration names the agent or its endpoint."""
+        endpoint = self.capacity.endpoint
+        names = {self.node.name}
+        if endpoint is not None:
+            names.add(endpoint.name)
+        return bool(names.intersection(self.drained_names))
+
     def update_drained(self) -> None:
         """Note the end of a drain."""
         if self.is_idle():
