--- a/testing/decisions/test_keeper_fuzz.py
+++ b/testing/decisions/test_keeper_fuzz.py
@@ -25,7 +25,7 @@
     kind=members.EndpointKind.WORKER,
     capacity=resources.Resources(cores=4.0, memory_mb=100.0),
 )
-KEYS = 12
+KEYS = 6
 FAILURES = (None, *errors.EndpointFailure)
 
 
@@ -111,7 +111,10 @@
             starts=items,
             config_version=1,
         )
+        before = set(self.begun)
         self.observe(self.keeper.on_message(sender, message, self.now))
+        if incarnation != NODE.incarnation:
+            assert self.begun == before, "started for another incarnation"
 
     @stateful.rule(
         index=strategies.integers(0, KEYS - 1),
@@ -133,11 +136,13 @@
         if not was_seen:
             self.not_run.add(key)
 
-    @stateful.rule(index=strategies.integers(0, KEYS - 1))
-    def acknowledge(self, index):
-        """Acknowledge a result that may not exist."""
-        key = self.item(index).key
-        message = tasks.ResultsAck(keys=(key,))
+    @stateful.precondition(lambda self: self.unacknowledged)
+    @stateful.rule(choice=strategies.integers(0, KEYS))
+    def acknowledge(self, choice):
+        """Acknowledge a result, which may already be acknowledged."""
+        keys = sorted(self.unacknowledged)
+        key = keys[choice % len(keys)]
+        message = tasks.ResultsAck(keys=(key, key))
         self.observe(
             self.keeper.on_message(COORDINATORS[0], message, self.now)
         )
