Test membership and configuration, and model the configuration protocol

An entry now confirms nothing before its first own read of the row.

Agents that joined different entries in the same moment stayed apart for up to 30 s; they now compare views often after joining.

A name whose address was taken by a later incarnation stayed in the directory until its report expired; it is now dropped at once.

The whole list of entries is told each 60 s and not each 10 s, and freshness survives a newer version.

--- /dev/null
+++ b/spec/configuration.py
@@ -0,0 +1,339 @@
+"""Model of the configuration protocol, checked exhaustively.
+
+Three entries hold version 1. Two operators race to replace it, each at its
+own entry. A message that never arrives is an action that never happens, so
+cuts from the table and between entries need no state of their own. Writes
+may take effect long after they were sent, pushes of any version may arrive
+at any time, and entries crash and restart with nothing in memory.
+
+Time passes in ticks of one freshness period (2 s). A freshness that was
+gained before a change was accepted is gone two ticks later.
+"""
+
+import collections.abc
+import dataclasses
+import enum
+import time
+
+import minicheck
+
+ENTRIES = 3
+MAJORITY = 2
+FRESH_TICKS = 2
+MAX_STATES = 2_000_000
+
+
+class Mutation(enum.StrEnum):
+    """A rule that is taken out of the model."""
+
+    NONE = "none"
+    ACCEPT_WITHOUT_MAJORITY = "accept without majority"
+    APPLY_LOWER_VERSION = "apply a lower version"
+    FRESH_WITHOUT_MAJORITY = "freshness without majority"
+    CONFIRM_BEFORE_FIRST_READ = "confirm before the first own read"
+    LOST_ANSWER_IS_FAILURE = "take a lost write answer for a failure"
+
+
+class Op(enum.IntEnum):
+    """Where an operator's change is.
+
+    ``GONE`` changes lost their entry; a write of theirs may still be on
+    its way.
+    """
+
+    IDLE = 0
+    SENT = 1
+    WRITTEN = 2
+    ACCEPTED = 3
+    CONFLICT = 4
+    GONE = 5
+    GONE_SENT = 6
+
+
+@dataclasses.dataclass(frozen=True)
+class State:
+    """One state; tuples are indexed by entry or by operator.
+
+    ``fresh`` counts the ticks that freshness still lasts, ``has_read``
+    tells which entries have read the row since their start, ``winner`` is
+    the operator whose change is version 2, and ``accepted_age`` counts
+    ticks since a change was accepted.
+    """
+
+    row: int = 1
+    winner: int = -1
+    applied: tuple[int, ...] = (1, 1, 1)
+    fresh: tuple[int, ...] = (0, 0, 0)
+    has_read: tuple[bool, ...] = (True, True, True)
+    ops: tuple[int, ...] = (Op.IDLE, Op.IDLE)
+    acked: tuple[frozenset[int], ...] = (frozenset(), frozenset())
+    accepted_age: int = -1
+    crashes: int = 0
+    lowered: bool = False
+
+
+Step = tuple[str, State]
+
+
+def put(values: tuple, index: int, value: object) -> tuple:
+    """Return ``values`` with one of them replaced."""
+    return values[:index] + (value,) + values[index + 1 :]
+
+
+def apply(state: State, entry: int, version: int, mutation: str) -> State:
+    """Let an entry apply a version, if the rules allow it."""
+    have = state.applied[entry]
+    if version == have:
+        return state
+    if version < have and mutation != Mutation.APPLY_LOWER_VERSION:
+        return state
+    return dataclasses.replace(
+        state,
+        applied=put(state.applied, entry, version),
+        lowered=state.lowered or version < have,
+    )
+
+
+def operator_steps(state: State, op: int, mutation: str) -> list[Step]:
+    """Return the steps of one operator's change at its entry."""
+    steps: list[Step] = []
+    stage = state.ops[op]
+
+    def to(value: Op, **changes: object) -> State:
+        ops = put(state.ops, op, value)
+        return dataclasses.replace(state, ops=ops, **changes)
+
+    if stage == Op.IDLE and state.row == 1:
+        steps.append((f"write {op} sent", to(Op.SENT)))
+    if stage in (Op.SENT, Op.GONE_SENT) and state.row == 1:
+        effect = dataclasses.replace(state, row=2, winner=op)
+        steps.append((f"write {op} takes effect", effect))
+    if stage == Op.SENT:
+        if state.winner == op:
+            after = apply(to(Op.WRITTEN), op, 2, mutation)
+            steps.append((f"change {op} found in the row", after))
+        elif state.row == 2:
+            steps.append((f"change {op} lost the race", to(Op.CONFLICT)))
+        elif mutation == Mutation.LOST_ANSWER_IS_FAILURE:
+            ops = put(state.ops, op, Op.GONE_SENT)
+            given_up = dataclasses.replace(
+                state, ops=ops, acked=put(state.acked, op, frozenset({-1}))
+            )
+            steps.append((f"change {op} reported as not written", given_up))
+    if stage == Op.WRITTEN:
+        steps += accept_steps(state, op, mutation)
+    return steps
+
+
+def accept_steps(state: State, op: int, mutation: str) -> list[Step]:
+    """Return acknowledgements to a change, and its acceptance."""
+    steps: list[Step] = []
+    for entry in range(ENTRIES):
+        if state.applied[entry] >= 2 and entry not in state.acked[op]:
+            acked = put(state.acked, op, state.acked[op] | {entry})
+            after = dataclasses.replace(state, acked=acked)
+            steps.append((f"entry {entry} acknowledges {op}", after))
+    enough = len(state.acked[op]) >= MAJORITY
+    if enough or mutation == Mutation.ACCEPT_WITHOUT_MAJORITY:
+        after = dataclasses.replace(
+            state, ops=put(state.ops, op, Op.ACCEPTED), accepted_age=0
+        )
+        steps.append((f"change {op} accepted", after))
+    return steps
+
+
+def entry_steps(state: State, entry: int, mutation: str) -> list[Step]:
+    """Return what one entry can do."""
+    steps: list[Step] = []
+    for version in range(1, state.row + 1):
+        after = apply(state, entry, version, mutation)
+        steps.append((f"push of {version} reaches {entry}", after))
+    read = apply(state, entry, state.row, Mutation.NONE)
+    read = dataclasses.replace(
+        read,
+        fresh=put(read.fresh, entry, FRESH_TICKS),
+        has_read=put(read.has_read, entry, True),
+    )
+    steps.append((f"entry {entry} reads the row", read))
+    if state.has_read[entry] and state.applied[entry] > 0:
+        confirmed = dataclasses.replace(
+            state, fresh=put(state.fresh, entry, FRESH_TICKS)
+        )
+        for peer in range(ENTRIES):
+            if peer != entry and confirms(state, entry, peer, mutation):
+                steps.append((f"{peer} confirms {entry}", confirmed))
+        if mutation == Mutation.FRESH_WITHOUT_MAJORITY:
+            steps.append((f"{entry} confirms itself", confirmed))
+    if state.crashes < 1:
+        steps.append((f"entry {entry} restarts", restart(state, entry)))
+    return steps
+
+
+def confirms(state: State, entry: int, peer: int, mutation: str) -> bool:
+    """Tell whether ``peer`` and ``entry`` are a majority for a version."""
+    if state.applied[peer] != state.applied[entry]:
+        return False
+    if mutation == Mutation.CONFIRM_BEFORE_FIRST_READ:
+        return True
+    return state.has_read[peer]
+
+
+def restart(state: State, entry: int) -> State:
+    """Return the state after an entry lost its memory."""
+    ops = state.ops
+    if entry < len(ops):
+        lost = Op.GONE_SENT if ops[entry] == Op.SENT else Op.GONE
+        if ops[entry] in (Op.SENT, Op.WRITTEN):
+            ops = put(ops, entry, lost)
+    return dataclasses.replace(
+        state,
+        applied=put(state.applied, entry, 0),
+        fresh=put(state.fresh, entry, 0),
+        has_read=put(state.has_read, entry, False),
+        ops=ops,
+        crashes=state.crashes + 1,
+    )
+
+
+def tick(state: State) -> State:
+    """Return the state one freshness period later."""
+    age = state.accepted_age
+    return dataclasses.replace(
+        state,
+        fresh=tuple(max(0, f - 1) for f in state.fresh),
+        accepted_age=age if age < 0 else min(FRESH_TICKS, age + 1),
+    )
+
+
+def in_force(state: State) -> bool:
+    """An accepted change is in force at every fresh entry."""
+    if state.accepted_age < FRESH_TICKS:
+        return True
+    return all(
+        version >= 2
+        for version, fresh in zip(state.applied, state.fresh)
+        if fresh
+    )
+
+
+def truthful(state: State) -> bool:
+    """A change reported as lost or not written never takes effect."""
+    for op, stage in enumerate(state.ops):
+        reported_failed = stage == Op.CONFLICT or -1 in state.acked[op]
+        if reported_failed and state.winner == op:
+            return False
+    return True
+
+
+INVARIANTS: dict[str, collections.abc.Callable[[State], bool]] = {
+    "accepted change in force at every fresh entry": in_force,
+    "no entry goes back to a lower version": lambda s: not s.lowered,
+    "failure reports are true": truthful,
+    "one change wins": lambda s: s.ops.count(Op.ACCEPTED) <= 1,
+}
+
+
+def model(mutation: Mutation) -> minicheck.Protocol:
+    """Return the model with one rule taken out.
+
+    A mutated model is not explored beyond its first counterexample.
+    """
+    is_refuted = False
+
+    def transitions(values: tuple[State]) -> list[tuple[str, tuple[State]]]:
+        if is_refuted and mutation is not Mutation.NONE:
+            return []
+        state = values[0]
+        steps: list[Step] = [("2 s pass", tick(state))]
+        for op in range(len(state.ops)):
+            steps += operator_steps(state, op, mutation)
+        for entry in range(ENTRIES):
+            steps += entry_steps(state, entry, mutation)
+        return [(label, (after,)) for label, after in steps]
+
+    def judged(
+        holds: collections.abc.Callable[[State], bool],
+    ) -> collections.abc.Callable[[dict[str, State]], bool]:
+        def invariant(fields: dict[str, State]) -> bool:
+            nonlocal is_refuted
+            verdict = holds(fields["state"])
+            is_refuted = is_refuted or not verdict
+            return verdict
+
+        return invariant
+
+    return minicheck.Protocol(
+        name=f"configuration, mutation: {mutation}",
+        candidate=False,
+        fields=("state",),
+        initial=(State(),),
+        transitions=transitions,
+        invariants={name: judged(holds) for name, holds in INVARIANTS.items()},
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Checked:
+    """Result of checking the model under one mutation.
+
+    ``counterexamples`` gives the steps of the shortest counterexample of
+    each invariant that does not hold.
+    """
+
+    mutation: Mutation
+    states: int
+    exhaustive: bool
+    counterexamples: dict[str, int]
+    seconds: float
+
+    def as_expected(self) -> bool:
+        """Tell whether exactly the mutations have counterexamples."""
+        if self.mutation is Mutation.NONE:
+            return self.exhaustive and not self.counterexamples
+        return bool(self.counterexamples)
+
+
+def check_one(mutation: Mutation) -> Checked:
+    """Check the model with one rule taken out."""
+    began_s = time.perf_counter()
+    report = minicheck.check_safety(model(mutation), max_states=MAX_STATES)
+    properties = report["properties"]
+    refuted = any(p["holds"] is False for p in properties.values())
+    is_cut = refuted and mutation is not Mutation.NONE
+    return Checked(
+        mutation=mutation,
+        states=report["reachable_states"],
+        exhaustive=report["exhaustive"] and not is_cut,
+        counterexamples={
+            name: len(found["counterexample"]) - 1
+            for name, found in properties.items()
+            if found["holds"] is False
+        },
+        seconds=time.perf_counter() - began_s,
+    )
+
+
+def check() -> list[Checked]:
+    """Check the model, and the model without each of its rules."""
+    return [check_one(mutation) for mutation in Mutation]
+
+
+def main() -> None:
+    """Print what was explored and found."""
+    results = check()
+    for checked in results:
+        print(
+            f"configuration, {checked.mutation}: {checked.states} states, "
+            f"exhaustive {'yes' if checked.exhaustive else 'no'}, "
+            f"{checked.seconds:.1f} s"
+        )
+        for name, steps in checked.counterexamples.items():
+            print(f"  counterexample of {steps} steps: {name}")
+    if not all(checked.as_expected() for checked in results):
+        raise SystemExit(
+            "configuration: the model does not behave as expected"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/_jasminewind/decisions/agentsync.py
+++ b/src/_jasminewind/decisions/agentsync.py
@@ -12,7 +12,7 @@
 from _jasminewind.messages import membership
 
 FRESH_FOR_S = 3.0
-ASK_ENTRY_AFTER_S = 1.5
+ASK_ENTRY_AFTER_S = 2.2
 ASK_ENTRY_PERIOD_S = 1.0
 # Every agent pushes a new version to this many others of its cell: four
 # copies of a 17 KB configuration each 18 s cost less than 5 KB/s.
@@ -106,10 +106,7 @@
         self.repair = None
         self._rank()
         version, confirmed_s = self.awaited
-        if version == self.config.version:
-            self.confirmed_s = max(self.confirmed_s, confirmed_s)
-        else:
-            self.confirmed_s = float("-inf")
+        self._confirm(version, confirmed_s)
         return [self.push(m.node) for m in self._children()]
 
     # Versions
@@ -129,9 +126,13 @@
         return actions
 
     def _confirm(self, version: int, confirmed_s: float) -> None:
-        if version == self.config.version:
+        """Take that ``version`` was the newest at ``confirmed_s``.
+
+        This counts for every version that is not lower.
+        """
+        if version <= self.config.version:
             self.confirmed_s = max(self.confirmed_s, confirmed_s)
-        elif version > self.config.version:
+        else:
             self.awaited = max(self.awaited, (version, confirmed_s))
 
     def _relay(
--- a/src/_jasminewind/decisions/confirmations.py
+++ b/src/_jasminewind/decisions/confirmations.py
@@ -45,11 +45,13 @@
     ) -> float:
         """Return when the latest round began that ``needed`` confirmed.
 
-        Minus infinity is returned when there is none for ``version``.
+        A round for a lower version counts too: it shows that nothing
+        above that version was accepted when it began. Minus infinity is
+        returned when there is none.
         """
         times = [
             r.began_s
             for r in self.rounds.values()
-            if r.version == version and len(r.confirmed & names) >= needed
+            if r.version <= version and len(r.confirmed & names) >= needed
         ]
         return max(times, default=float("-inf"))
--- a/src/_jasminewind/decisions/directory.py
+++ b/src/_jasminewind/decisions/directory.py
@@ -13,7 +13,7 @@
 from _jasminewind.messages import membership
 from _jasminewind.messages import ownership
 
-# A reporter sends at least every 2 s; after five periods without a word
+# A reporter sends at least every 3 s; after three periods without a word
 # its part of the view says nothing about the present.
 REPORT_EXPIRES_S = 10.0
 REPORT_FORGOTTEN_S = 600.0
@@ -380,6 +380,7 @@
                     known = found.get(name)
                     if known is None or _prefer(record, known):
                         found[name] = record
+            found = _without_replaced(found)
             self.cached_members = found
             self.cached_view = tuple(found[name] for name in sorted(found))
         return self.cached_members
@@ -392,3 +393,15 @@
         not record.suspect,
         record.sequence,
     ) > (known.node.incarnation, not known.suspect, known.sequence)
+
+
+def _without_replaced(
+    found: dict[str, processes.Member],
+) -> dict[str, processes.Member]:
+    """Drop names whose address a later incarnation has taken."""
+    latest: dict[processes.Address, processes.Member] = {}
+    for record in found.values():
+        known = latest.get(record.address)
+        if known is None or known.node.incarnation < record.node.incarnation:
+            latest[record.address] = record
+    return {m.node.name: m for m in latest.values()}
--- a/src/_jasminewind/decisions/entrysync.py
+++ b/src/_jasminewind/decisions/entrysync.py
@@ -26,9 +26,11 @@
 # Peers are asked only when the own read is late, because asking 23 of
 # them costs several KB/s.
 ASK_PEERS_AFTER_S = 1.2
-ASK_PEERS_PERIOD_S = 0.7
+ASK_PEERS_PERIOD_S = 0.9
 BEACON_PERIOD_S = 1.0
-ENTRIES_PERIOD_S = 10.0
+# The list of 24 entries takes 2 KB; it is told when it changes, and once a
+# minute for a reporter that is new or missed it.
+ENTRIES_PERIOD_S = 60.0
 # Each cell hears this many entries. One would do; three cover one that is
 # cut off and one that has just died.
 BEACONS_PER_CELL = 3
@@ -170,8 +172,8 @@
             return actions
         config, _ = found
         actions += self.apply(config, now)
-        if config.version == self.config.version:
-            self.read_confirmed_s = max(self.read_confirmed_s, began_s)
+        # Nothing newer than the row existed when the read began.
+        self.read_confirmed_s = max(self.read_confirmed_s, began_s)
         return actions
 
     def on_table_written(
@@ -239,6 +241,11 @@
         else:
             actions = self.on_version_seen(sender, message.have_version, now)
         if message.nonce:
+            # Before its first read an entry may have forgotten a version
+            # that it acknowledged before a restart, so it must not
+            # confirm a lower one.
+            if self.registry.read_s is None:
+                return actions
             ack = config_messages.ConfigAck(
                 version=self.config.version, nonce=message.nonce
             )
--- a/src/_jasminewind/decisions/membership.py
+++ b/src/_jasminewind/decisions/membership.py
@@ -282,7 +282,10 @@
         self._learn_entries(message.entries)
         if self.config_version == 0:
             self._set_cell_count(message.cell_count)
-        self.welcomed = True
+        if not self.welcomed:
+            # Others may have joined at another entry in the same moment.
+            self.welcomed = True
+            self.news_until_s = now.mono_s + NEWS_LASTS_S
         actions: core.Actions = []
         for record in message.records:
             actions += self._on_hearsay(record, now)
@@ -318,7 +321,7 @@
     def _is_due(
         self, last_s: float, period_s: float, now: core.Instant
     ) -> bool:
-        if now.mono_s < self.news_until_s:
+        if now.mono_s < self.news_until_s or not self.peers:
             period_s = NEWS_EXCHANGE_PERIOD_S
         # One tick in a few, so that the members do not act in step.
         late = now.mono_s - last_s >= period_s
--- a/src/_jasminewind/decisions/reports.py
+++ b/src/_jasminewind/decisions/reports.py
@@ -7,9 +7,9 @@
 from _jasminewind.messages import membership
 
 DIGEST_PERIOD_S = 1.0
-# A digest without news costs 24 entries * 94 cells * 2 reporters; a beat
-# every other second keeps an entry within its 19 KB/s.
-DIGEST_BEAT_PERIOD_S = 2.0
+# An entry hears 188 reporters at the target size; a beat of 80 bytes every
+# third second leaves room for the rest within its 19 KB/s.
+DIGEST_BEAT_PERIOD_S = 3.0
 
 
 class Reporter:
--- /dev/null
+++ b/testing/decisions/test_directory.py
@@ -0,0 +1,128 @@
+"""The shard map and the members as an entry knows them."""
+
+import random
+
+from _jasminewind import ids
+from _jasminewind import shards
+from _jasminewind.decisions import core
+from _jasminewind.decisions import directory
+from _jasminewind.decisions import reports
+from _jasminewind.messages import membership as messages
+from testing.decisions import fleet as fleets
+
+WALL_MS = fleets.WALL_START_MS
+AGENT = fleets.agent_record(0)
+OTHER = fleets.agent_record(1)
+
+
+def instant(seconds: float) -> core.Instant:
+    return core.Instant(seconds, WALL_MS + int(seconds * 1000))
+
+
+def new_directory(shard_count: int = 1) -> directory.Directory:
+    known = directory.Directory(
+        member=fleets.entry_record(0), rng=random.Random(1)
+    )
+    config = fleets.config(1, shard_count=shard_count)
+    known.on_config(config, instant(0))
+    return known
+
+
+def new_reporter() -> reports.Reporter:
+    reporter = reports.Reporter(node=AGENT.node)
+    reporter.take_row(fleets.shard_row(0, AGENT))
+    return reporter
+
+
+ENTRY = fleets.members.Contact(
+    node=fleets.entry_record(0).node, address=fleets.entry_record(0).address
+)
+
+
+def messages_of(actions: core.Actions) -> list[object]:
+    return [a.message for a in actions if isinstance(a, core.Send)]
+
+
+def test_missed_digest_is_noticed_and_repaired() -> None:
+    """Guards against a shard map that misses a change for ever."""
+    known = new_directory()
+    reporter = new_reporter()
+
+    def tick(seconds: float, *records: fleets.members.Member) -> list[object]:
+        actions = reporter.on_tick(
+            cell=0, records=records, entries=(ENTRY,), now=instant(seconds)
+        )
+        return messages_of(actions)
+
+    for message in tick(0, AGENT):
+        known.on_message(AGENT.node, message, instant(0))
+    assert [m.node for m in known.members()] == [AGENT.node]
+    lost = tick(1, AGENT, OTHER)
+    assert isinstance(lost[0], messages.CellDigest)
+    beats = tick(4, AGENT, OTHER)
+    assert isinstance(beats[0], messages.DigestBeat)
+    actions = known.on_message(AGENT.node, beats[0], instant(4))
+    request = messages_of(actions)[0]
+    assert isinstance(request, messages.DigestRequest)
+    full = reporter.full(cell=0, records=(AGENT, OTHER), entry=ENTRY)
+    known.on_message(AGENT.node, messages_of(full)[0], instant(4))
+    assert len(known.members()) == 2
+
+
+def test_silent_reporter_is_aged_out() -> None:
+    """Guards against new work for a cell that nobody hears any more."""
+    known = new_directory()
+    reporter = new_reporter()
+    actions = reporter.on_tick(
+        cell=0, records=(AGENT,), entries=(ENTRY,), now=instant(0)
+    )
+    for message in messages_of(actions):
+        known.on_message(AGENT.node, message, instant(0))
+    assert known.shard_for_new(instant(0)) == 0
+    known.on_tick(instant(11))
+    assert known.members() == ()
+    assert known.shard_for_new(instant(11)) is None
+
+
+def test_owner_by_interval_also_of_earlier_epochs() -> None:
+    """Guards against asking an incarnation that cannot know the id."""
+    known = new_directory()
+    earlier = shards.Interval(
+        epoch=1,
+        owner=AGENT.node,
+        address=AGENT.address,
+        floor_ms=WALL_MS,
+        ceiling_ms=WALL_MS + 1000,
+    )
+    row = fleets.shard_row(
+        0,
+        OTHER,
+        epoch=2,
+        floor_ms=WALL_MS + 2000,
+        ceiling_ms=WALL_MS + 3000,
+        earlier=(earlier,),
+    )
+    announce = directory.ownership.OwnerAnnounce(row=row)
+    known.on_message(OTHER.node, announce, instant(0))
+    stale = directory.ownership.OwnerAnnounce(row=fleets.shard_row(0, AGENT))
+    known.on_message(AGENT.node, stale, instant(0))
+
+    def owner_at(offset_ms: int) -> fleets.members.NodeId | None:
+        work_id = ids.new(wall_ms=WALL_MS + offset_ms, rng=random.Random(3))
+        interval = known.owner_of(work_id)
+        return interval.owner if interval else None
+
+    assert owner_at(-5) is None
+    assert owner_at(500) == AGENT.node
+    assert owner_at(1500) is None
+    assert owner_at(2500) == OTHER.node
+    assert owner_at(60_000) == OTHER.node
+
+
+def test_entry_without_configuration_welcomes_nobody() -> None:
+    """Guards against agents sent to a cell by a wrong number of cells."""
+    known = directory.Directory(
+        member=fleets.entry_record(0), rng=random.Random(1)
+    )
+    join = messages.Join(member=AGENT)
+    assert known.on_message(AGENT.node, join, instant(0)) == []
--- /dev/null
+++ b/testing/decisions/test_relay.py
@@ -0,0 +1,297 @@
+"""Submissions that an entry forwards, and their one whole answer."""
+
+import random
+
+from _jasminewind import configuration
+from _jasminewind import errors
+from _jasminewind import ids
+from _jasminewind import members
+from _jasminewind.decisions import core
+from _jasminewind.decisions import directory
+from _jasminewind.decisions import relay
+from _jasminewind.messages import membership as messages
+from _jasminewind.messages import ownership
+from _jasminewind.messages import work
+from testing.decisions import fleet as fleets
+
+WALL_MS = fleets.WALL_START_MS
+OWNER = fleets.agent_record(0)
+OTHER = fleets.agent_record(1)
+TASK = work.Task(name="quote", service="hutch-orders", method="quote")
+
+
+def instant(seconds: float) -> core.Instant:
+    return core.Instant(seconds, WALL_MS + int(seconds * 1000))
+
+
+class Entry:
+    """A relay and a directory that knows one shard and two agents."""
+
+    def __init__(self, *, max_pending: int = 10, **team: float) -> None:
+        record = fleets.entry_record(0)
+        rng = random.Random(4)
+        self.map = directory.Directory(member=record, rng=rng)
+        self.relay = relay.Relay(
+            member=record,
+            directory=self.map,
+            rng=rng,
+            max_pending=max_pending,
+        )
+        millers = configuration.Team(name="millers", **team)  # type: ignore
+        config = fleets.config(1, shard_count=1, teams=(millers,))
+        self.map.on_config(config, instant(0))
+        self.relay.on_config(config, instant(0))
+        self.sequence = 0
+        self.report(0.0, OWNER, OTHER)
+        self.announce(fleets.shard_row(0, OWNER))
+
+    def report(self, seconds: float, *records: members.Member) -> None:
+        self.sequence += 1
+        digest = messages.CellDigest(
+            cell=0,
+            reporter=OTHER.node,
+            sequence=self.sequence,
+            digest_hash=0,
+            full=True,
+            records=records,
+        )
+        self.map.on_message(OTHER.node, digest, instant(seconds))
+
+    def announce(self, row: fleets.shards.ShardRow) -> None:
+        message = ownership.OwnerAnnounce(row=row)
+        self.map.on_message(OWNER.node, message, instant(0))
+
+    def submit(
+        self, ticket: int, seconds: float = 0.0, **fields: object
+    ) -> tuple[str, core.Actions]:
+        entry_made = bool(fields.pop("entry_made", False))
+        seed = fields.pop("seed", ticket)
+        work_id = ids.new(
+            wall_ms=instant(seconds).wall_ms, rng=random.Random(str(seed))
+        )
+        submit = work.Submit(
+            work_id=str(fields.pop("work_id", work_id)),
+            kind=work.WorkKind.REQUEST,
+            team="millers",
+            tasks=(TASK,),
+            budget_s=30.0,
+            config_version=1,
+        )
+        actions = self.relay.submit(
+            ticket, submit, instant(seconds), entry_made=entry_made
+        )
+        return submit.work_id, actions
+
+
+def sends(actions: core.Actions) -> list[core.Send]:
+    return [a for a in actions if isinstance(a, core.Send)]
+
+
+def answers(actions: core.Actions) -> list[tuple[int, work.Answer]]:
+    return [
+        (a.ticket, a.message)
+        for a in actions
+        if isinstance(a, core.Deliver) and isinstance(a.message, work.Answer)
+    ]
+
+
+def complete(work_id: str) -> work.Answer:
+    output = work.TaskOutput(
+        name="quote", payload="1", endpoint="minion-000", run_s=0.1
+    )
+    return work.Answer(
+        work_id=work_id, state=work.WorkState.COMPLETE, outputs=(output,)
+    )
+
+
+def failure(actions: core.Actions) -> errors.WorkError:
+    ((_, answer),) = answers(actions)
+    assert answer.state is work.WorkState.FAILED
+    assert answer.error is not None
+    return answer.error
+
+
+def test_answer_is_delivered_once_and_only_for_known_ids() -> None:
+    """Guards against a second, late or foreign answer for a caller."""
+    entry = Entry()
+    work_id, actions = entry.submit(1)
+    assert [s.to for s in sends(actions)] == [OWNER.node]
+    answer = complete(work_id)
+    assert entry.relay.on_message(OTHER.node, answer, instant(1)) == []
+    first = entry.relay.on_message(OWNER.node, answer, instant(1))
+    assert answers(first) == [(1, answer)]
+    assert entry.relay.on_message(OWNER.node, answer, instant(1)) == []
+    assert entry.relay.in_flight() == 0
+
+
+def test_partial_answer_becomes_a_failure() -> None:
+    """Guards against a job answer that misses outputs."""
+    entry = Entry()
+    work_id, _ = entry.submit(1)
+    partial = work.Answer(work_id=work_id, state=work.WorkState.COMPLETE)
+    actions = entry.relay.on_message(OWNER.node, partial, instant(1))
+    assert failure(actions).outcome is errors.Outcome.MAY_HAVE_RUN
+
+
+def test_lost_link_sends_again_to_the_same_incarnation() -> None:
+    """Guards against work that a broken link leaves unanswered."""
+    entry = Entry()
+    work_id, _ = entry.submit(1)
+    entry.relay.on_link_lost(OWNER.node, instant(1))
+    again = sends(entry.relay.on_tick(instant(2)))
+    assert [s.to for s in again] == [OWNER.node]
+    assert isinstance(again[0].message, work.Submit)
+    assert again[0].message.work_id == work_id
+    assert again[0].message.budget_s == 28.0
+
+
+def test_replacement_of_a_dead_owner_is_not_sent_its_ids() -> None:
+    """Guards against a second start by another incarnation."""
+    entry = Entry()
+    _, _ = entry.submit(1)
+    reborn = fleets.agent_record(0, incarnation=2)
+    entry.report(5.0, reborn, OTHER)
+    actions: core.Actions = []
+    for tenth in range(50, 250):
+        if tenth % 20 == 0:
+            entry.report(tenth / 10, reborn, OTHER)
+        actions += entry.relay.on_tick(instant(tenth / 10))
+    assert sends(actions) == []
+    error = failure(actions)
+    assert error.code is errors.Code.UNAVAILABLE
+    assert error.outcome is errors.Outcome.MAY_HAVE_RUN
+
+
+def test_unsent_id_of_a_caller_waits_for_the_new_owner() -> None:
+    """Guards against a refusal while a takeover is under way."""
+    entry = Entry()
+    entry.report(0.0, OTHER)
+    _, actions = entry.submit(1)
+    assert actions == []
+    entry.announce(fleets.shard_row(0, OTHER, epoch=2, floor_ms=WALL_MS - 1))
+    later = sends(entry.relay.on_tick(instant(1)))
+    assert [s.to for s in later] == [OTHER.node]
+
+
+def test_unsent_id_of_a_caller_is_never_reported_as_not_run() -> None:
+    """Guards against NOT_RUN for a resubmission that ran elsewhere."""
+    entry = Entry()
+    entry.report(0.0, OTHER)
+    entry.submit(1)
+    assert answers(entry.relay.on_tick(instant(14.0))) == []
+    error = failure(entry.relay.on_tick(instant(16.0)))
+    assert error.outcome is errors.Outcome.MAY_HAVE_RUN
+
+
+def test_unsent_id_of_the_entry_is_refused_as_not_run_at_once() -> None:
+    """Guards against callers that wait although nothing was sent."""
+    entry = Entry()
+    entry.report(0.0, OTHER)
+    _, actions = entry.submit(1, entry_made=True)
+    assert failure(actions).outcome is errors.Outcome.NOT_RUN
+
+
+def test_failed_write_replaces_an_id_of_the_entry() -> None:
+    """Guards against loss of work that no owner has seen."""
+    entry = Entry()
+    work_id, actions = entry.submit(1, entry_made=True)
+    (sent,) = sends(actions)
+    again = entry.relay.on_send_failed(OWNER.node, sent.message, instant(1))
+    (second,) = sends(again)
+    assert isinstance(second.message, work.Submit)
+    assert second.message.work_id != work_id
+    answer = complete(second.message.work_id)
+    done = entry.relay.on_message(OWNER.node, answer, instant(2))
+    assert answers(done) == [(1, answer)]
+
+
+def test_redirects_are_bounded() -> None:
+    """Guards against two owners that redirect to each other for ever."""
+    entry = Entry()
+    work_id, actions = entry.submit(1)
+    target = OWNER
+    count = 0
+    while sends(actions):
+        count += 1
+        assert count < 20
+        other = OTHER if target is OWNER else OWNER
+        redirect = work.Redirect(
+            work_id=work_id, owner=other.node, address=other.address
+        )
+        actions = entry.relay.on_message(target.node, redirect, instant(1))
+        target = other
+    assert count == 1 + relay.MAX_REDIRECTS
+
+
+def test_quota_is_split_over_entries_and_refused_as_not_run() -> None:
+    """Guards against a team that gets its quota once per entry."""
+    entry = Entry(max_in_flight=4)
+    entry.relay.set_entry_count(2)
+    entry.submit(1)
+    work_id, _ = entry.submit(2)
+    _, refused = entry.submit(3)
+    error = failure(refused)
+    assert error.code is errors.Code.RESOURCE_EXHAUSTED
+    assert error.outcome is errors.Outcome.NOT_RUN
+    entry.relay.on_message(OWNER.node, complete(work_id), instant(1))
+    _, admitted = entry.submit(4)
+    assert sends(admitted)
+
+
+def test_starts_per_second_are_limited_by_a_bucket() -> None:
+    """Guards against bursts above the rate of a team."""
+    entry = Entry(starts_per_s=2.0)
+    taken = [bool(sends(entry.submit(n)[1])) for n in range(4)]
+    assert taken == [True, True, False, False]
+    assert sends(entry.submit(9, seconds=1.0)[1])
+
+
+def test_pending_submissions_are_bounded() -> None:
+    """Guards against an entry that runs out of memory."""
+    entry = Entry(max_pending=1)
+    entry.submit(1)
+    _, refused = entry.submit(2)
+    assert failure(refused).code is errors.Code.RESOURCE_EXHAUSTED
+
+
+def test_same_id_twice_is_one_submission_with_two_callers() -> None:
+    """Guards against a resubmission that is charged or answered twice."""
+    entry = Entry()
+    work_id, _ = entry.submit(1)
+    _, joined = entry.submit(2, work_id=work_id)
+    assert joined == []
+    entry.relay.forget(1)
+    answer = complete(work_id)
+    done = entry.relay.on_message(OWNER.node, answer, instant(1))
+    assert answers(done) == [(2, answer)]
+
+
+def test_id_far_ahead_is_refused_as_not_run() -> None:
+    """Guards against an id that no owner can accept."""
+    entry = Entry()
+    far = ids.new(wall_ms=WALL_MS + 61_000, rng=random.Random(1))
+    _, refused = entry.submit(1, work_id=far)
+    assert failure(refused).code is errors.Code.INVALID_ARGUMENT
+
+
+def test_cancellation_follows_a_submission_that_is_sent_again() -> None:
+    """Guards against canceled work that a lost link revives."""
+    entry = Entry()
+    work_id, _ = entry.submit(1)
+    (cancel,) = sends(entry.relay.cancel(work_id, instant(1)))
+    assert cancel.message == work.Cancel(work_id=work_id)
+    entry.relay.on_link_lost(OWNER.node, instant(1))
+    again = [s.message for s in sends(entry.relay.on_tick(instant(2)))]
+    assert isinstance(again[0], work.Submit)
+    assert again[1] == work.Cancel(work_id=work_id)
+
+
+def test_question_without_reply_ends_as_unknown() -> None:
+    """Guards against a status call that hangs."""
+    entry = Entry()
+    work_id, _ = entry.submit(1)
+    assert sends(entry.relay.query(7, work_id, instant(0)))
+    (end,) = entry.relay.on_tick(instant(6))
+    assert isinstance(end, core.Deliver)
+    assert isinstance(end.message, work.WorkStatus)
+    assert (end.ticket, end.message.state) == (7, work.WorkState.UNKNOWN)
