Refuse new work at an entry whose configuration is not fresh

The relay had no view of freshness, so each caller of it had to check. It now refuses as not run while set_fresh(False) holds.

A digest request of a restarted entry was answered to its earlier incarnation; it now goes to the sender. Members keep their own shard rows too.

--- a/src/_jasminewind/decisions/membership.py
+++ b/src/_jasminewind/decisions/membership.py
@@ -6,6 +6,7 @@
 
 from _jasminewind import configuration
 from _jasminewind import members
+from _jasminewind import shards
 from _jasminewind.decisions import beats
 from _jasminewind.decisions import cells
 from _jasminewind.decisions import core
@@ -141,6 +142,14 @@
                 actions += self._send_record(peer)
         return actions
 
+    def take_row(self, row: shards.ShardRow) -> None:
+        """Remember a shard row, also one that this agent itself owns.
+
+        Every member keeps the rows, so that any one of them can become a
+        reporter without a gap.
+        """
+        self.reporter.take_row(row)
+
     def begin_leave(self, now: core.Instant) -> core.Actions:
         """Tell every member at once that this agent takes no new work."""
         leaving = dataclasses.replace(self.member, state=members.State.LEAVING)
@@ -182,7 +191,7 @@
             case membership.DigestRequest():
                 return self._on_digest_request(sender, message)
             case ownership.OwnerAnnounce():
-                self.reporter.take_row(message.row)
+                self.take_row(message.row)
                 return []
             case config_messages.ConfigBeacon():
                 self._learn_entries(message.entries)
@@ -611,9 +620,12 @@
     def _on_digest_request(
         self, sender: members.NodeId, message: membership.DigestRequest
     ) -> core.Actions:
-        contact = self.entries.get(sender.name)
-        if contact is None or message.cell != self.cell():
+        if message.cell != self.cell():
             return []
+        # The entry may have restarted since its contact was learned.
+        known = self.entries.get(sender.name)
+        address = known.address if known else members.NO_ADDRESS
+        contact = members.Contact(node=sender, address=address)
         return self.reporter.full(
             cell=self.cell(), records=self.view(), entry=contact
         )
--- a/src/_jasminewind/decisions/relay.py
+++ b/src/_jasminewind/decisions/relay.py
@@ -96,6 +96,7 @@
         self.max_pending = max_pending
         self.config = configuration.NO_CONFIGURATION
         self.quotas = quotas.EntryQuotas()
+        self.is_fresh = True
         self.pending: dict[str, Pending] = {}
         self.by_ticket: dict[int, str] = {}
         self.by_target: dict[members.NodeId, set[str]] = {}
@@ -241,6 +242,10 @@
         """Split quotas over ``count`` registered entries."""
         self.quotas.entry_count = max(1, count)
 
+    def set_fresh(self, is_fresh: bool) -> None:
+        """Take new work only while the entry's configuration is fresh."""
+        self.is_fresh = is_fresh
+
     def on_config(
         self, config: configuration.Configuration, now: core.Instant
     ) -> core.Actions:
@@ -514,6 +519,12 @@
                 errors.Code.UNAVAILABLE,
                 "this entry has no configuration yet; use another entry",
             )
+        if not self.is_fresh:
+            return _not_run(
+                errors.Code.UNAVAILABLE,
+                "this entry cannot confirm that its configuration is the "
+                "newest; use another entry",
+            )
         ahead_ms = ids.time_ms(submit.work_id) - now.wall_ms
         if ahead_ms > SKEW_LIMIT_MS:
             return _not_run(
--- a/testing/decisions/fleet.py
+++ b/testing/decisions/fleet.py
@@ -22,6 +22,7 @@
 WALL_START_MS = 1_764_000_000_000
 TICK_S = 0.1
 LATENCY_S = 0.002
+LATEST_WRITE_S = 5.0
 
 
 def config(version: int, **fields: object) -> configuration.Configuration:
@@ -107,6 +108,7 @@
         self.versions = itertools.count(1)
         self.is_down = False
         self.loses_write_answers = False
+        self.writes_late = False
         self.history: list[configuration.Configuration] = []
 
     def read(self, action: core.ReadTable) -> core.TableReadReply:
@@ -412,6 +414,11 @@
     def _write(self, source: Process, action: core.WriteTable) -> None:
         if source.table_cut:
             reply = _failed(action, errors.TableFailure.NOT_SENT)
+        elif self.table.writes_late:
+            reply = _failed(action, errors.TableFailure.UNKNOWN)
+            due_s = self.now_s + self.rng.random() * LATEST_WRITE_S
+            call = lambda: self.table.write(action)  # noqa: E731
+            heapq.heappush(self.queue, (due_s, next(self.order), call))
         else:
             reply = self.table.write(action)
         self._reply(source, lambda d, now: d.on_table_written(reply, now))
--- a/testing/decisions/test_configuration.py
+++ b/testing/decisions/test_configuration.py
@@ -6,8 +6,6 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from _jasminewind import configuration
-from _jasminewind import errors
 from _jasminewind.decisions import core
 from _jasminewind.decisions import entrysync
 from _jasminewind.decisions import proposals
@@ -262,9 +260,12 @@
         lost = {f"entry-{n:02d}" for n in side}
         self.fleet.blocked = lambda a, b: (a in lost) != (b in lost)
 
-    @stateful.rule(is_down=st.booleans(), loses=st.booleans())
-    def disturb_table(self, is_down: bool, loses: bool) -> None:
+    @stateful.rule(
+        is_down=st.booleans(), loses=st.booleans(), late=st.booleans()
+    )
+    def disturb_table(self, is_down: bool, loses: bool, late: bool) -> None:
         self.fleet.table.is_down = is_down
+        self.fleet.table.writes_late = late
         self.fleet.table.loses_write_answers = loses
 
     @stateful.rule(loss=st.sampled_from([0.0, 0.2, 0.5]))
@@ -296,7 +297,10 @@
                     if c.change_ids[-1] == change_id
                 )
                 self.accepted[change_id] = (self.fleet.now_s, version)
-            if end.status is proposals.ProposalStatus.NOT_WRITTEN:
+            if end.status in (
+                CONFLICT,
+                proposals.ProposalStatus.NOT_WRITTEN,
+            ):
                 assert change_id not in self.fleet.table.history[-1].change_ids
         newest = self.fleet.table.history[-1]
         for change_id, (_, _) in self.accepted.items():
@@ -319,6 +323,7 @@
         self.fleet.max_extra_delay_s = 0.0
         self.fleet.table.is_down = False
         self.fleet.table.loses_write_answers = False
+        self.fleet.table.writes_late = False
         for process in self.fleet.processes.values():
             process.table_cut = False
         for _ in range(200):
--- a/testing/decisions/test_relay.py
+++ b/testing/decisions/test_relay.py
@@ -266,6 +266,16 @@
     assert answers(done) == [(2, answer)]
 
 
+def test_entry_that_is_not_fresh_refuses_as_not_run() -> None:
+    """Guards against work under a configuration that was replaced."""
+    entry = Entry()
+    entry.relay.set_fresh(False)
+    _, refused = entry.submit(1)
+    error = failure(refused)
+    assert error.code is errors.Code.UNAVAILABLE
+    assert error.outcome is errors.Outcome.NOT_RUN
+
+
 def test_id_far_ahead_is_refused_as_not_run() -> None:
     """Guards against an id that no owner can accept."""
     entry = Entry()
