Test the ownership rules and refresh a row that lags

Cause: a new interval starts 10 min below the clock, so that an outage of the table left only 5 of the 15 min of the orphan span. Change: a row more than 75 s behind the ceiling in use is written at once. Conclusion: the whole span is available soon after a claim.

--- a/src/_jasminewind/decisions/tenures.py
+++ b/src/_jasminewind/decisions/tenures.py
@@ -20,8 +20,9 @@
 LONE_AHEAD_MS = 20 * 1000
 SUCCESSOR_SILENT_S = 2.5
 REPLACE_EVERY_S = 2.0
-# A refresh that certainly was not sent is tried again after this time.
-RETRY_WRITE_S = 2.0
+# A row far behind the ceiling in use, as after a claim, is written at
+# once: an outage may use only the rest of the orphan span.
+LAG_MS = 75 * 1000
 
 
 class Tenures:
@@ -137,6 +138,9 @@
             if {s.node for s in chosen} != {s.node for s in row.successors}:
                 return self.write(holding, chosen, now)
         refresh_s = REFRESH_S if row.successors else LONE_REFRESH_S
+        lag_ms = holding.ceiling_ms - row.current.ceiling_ms
+        if lag_ms >= LAG_MS and age_s >= REPLACE_EVERY_S:
+            return self.write(holding, row.successors, now)
         if age_s >= refresh_s or (not row.successors and age_s >= 1.0):
             return self.write(holding, row.successors, now)
         return []
@@ -260,7 +264,7 @@
         if never_sent:
             holding.write = None
             holding.confirmed_s = max(
-                holding.confirmed_s, now.mono_s - REFRESH_S + RETRY_WRITE_S
+                holding.confirmed_s, now.mono_s - REPLACE_EVERY_S
             )
             return []
         if reply.error.failure is errors.TableFailure.CONFLICT:
--- /dev/null
+++ b/testing/decisions/test_ownership.py
@@ -0,0 +1,204 @@
+"""Tests of single rules of the ownership."""
+
+import dataclasses
+
+import pytest
+
+from _jasminewind import members
+from _jasminewind.decisions import rows
+from _jasminewind.messages import ownership as messages
+from testing.decisions import fakes
+
+
+@pytest.fixture
+def cell():
+    """Return four nodes with one shard that has an owner."""
+    found = fakes.Cell(count=4)
+    found.advance(15.0)
+    return found
+
+
+def successor_of(cell):
+    """Return the node of the first successor in the table."""
+    row = rows.decode(cell.table.rows["shard/000000"][1])
+    return cell.find(row.successors[0].node)
+
+
+def standing(cell, node, offset_ms):
+    """Return how ``node`` judges an id created at an offset from now."""
+    time_ms = fakes.START_MS + int(cell.now_s * 1000) + offset_ms
+    work_id = fakes.work_id(time_ms)
+    return node.ownership.judge(work_id, cell.at(node)).standing
+
+
+@pytest.mark.parametrize("count", [1, 2, 3])
+def test_small_cells_serve(count):
+    """Guards against a cell that needs more members than it has."""
+    cell = fakes.Cell(count=count)
+    cell.advance(15.0)
+    (owner,) = cell.owners()
+    assert standing(cell, owner, 0) == "accept"
+
+
+def test_promises_extend_through_a_table_outage(cell):
+    """Guards against a service that stops within the orphan span."""
+    cell.table.mode = fakes.TableMode.OUTAGE
+    cell.advance(800.0, step_s=1.0)
+    (owner,) = cell.owners()
+    assert standing(cell, owner, 0) == "accept"
+
+
+def test_successor_takes_over_above_the_old_interval(cell):
+    """Guards against a floor below what the dead owner accepted."""
+    (owner,) = cell.owners()
+    cell.crash(owner)
+    cell.advance(12.0)
+    (heir,) = cell.owners()
+    assert standing(cell, heir, 0) == "accept"
+    assert not cell.overlaps()
+
+
+def test_paused_owner_serves_only_its_interval(cell):
+    """Guards against an owner that extends after it was replaced."""
+    (owner,) = cell.owners()
+    cell.pause(owner)
+    cell.advance(20.0)
+    cell.resume(owner)
+    cell.advance(5.0)
+    assert cell.owners() != [owner]
+    assert standing(cell, owner, 0) == "not_owner"
+    assert standing(cell, owner, -24_000) == "accept"
+
+
+@pytest.mark.parametrize(
+    "mode", [fakes.TableMode.ANSWER_LOST, fakes.TableMode.WRITE_LATE]
+)
+def test_no_promise_while_a_takeover_is_unresolved(cell, mode):
+    """Guards against a promise above the floor of a late write."""
+    (owner,) = cell.owners()
+    heir = successor_of(cell)
+    cell.pause(owner)
+    cell.table.mode = mode
+    cell.auto = False
+    for _ in range(20):
+        cell.advance(0.5)
+        if heir.ownership.claims.is_writing(0):
+            break
+        cell.deliver_all()
+    is_owner = heir.ownership.owned() == (0,)
+    assert is_owner or heir.ownership.claims.is_writing(0)
+    epoch = owner.ownership.rows()[0].current.epoch
+    request = messages.PromiseRequest(
+        shard=0, epoch=epoch, ceiling_ms=cell.at(heir).wall_ms
+    )
+    actions = heir.ownership.on_message(owner.node, request, cell.at(heir))
+    assert [a.message.granted for a in actions] == [False]
+
+
+def test_unknown_write_is_not_repeated_without_pause(cell):
+    """Guards against a claim that loads a failing table endlessly."""
+    (owner,) = cell.owners()
+    cell.crash(owner)
+    cell.table.mode = fakes.TableMode.WRITE_LOST
+    cell.advance(10.0)
+    cell.table.mode = fakes.TableMode.OK
+    cell.advance(5.0)
+    assert len(cell.owners()) == 1
+
+
+def test_repeated_restarts_do_not_move_the_floor_further(cell):
+    """Guards against restarts that each close a shard for a span more."""
+    floors = []
+    for incarnation in (2, 3):
+        for node in [n for n in cell.nodes if n.alive]:
+            cell.crash(node)
+            cell.add(node.index, incarnation=incarnation)
+        cell.advance(60.0)
+        (owner,) = cell.owners()
+        floors.append(owner.held(0)[0][0])
+    assert floors[0] == floors[1]
+    cell.advance(1000.0, step_s=1.0)
+    (owner,) = cell.owners()
+    assert standing(cell, owner, 0) == "accept"
+
+
+def test_release_opens_an_orphan_within_a_minute(cell):
+    """Guards against an operator who must wait for the whole span."""
+    for node in list(cell.nodes):
+        cell.crash(node)
+        cell.add(node.index, incarnation=2)
+    cell.advance(12.0)
+    helper = cell.nodes[-1]
+    cell.run(helper, helper.ownership.release(0, cell.at(helper)))
+    cell.advance(90.0)
+    (owner,) = cell.owners()
+    assert standing(cell, owner, 0) == "accept"
+
+
+def test_release_of_a_live_shard_is_refused(cell):
+    """Guards against an operator's mistake that ends a live owner."""
+    helper = cell.nodes[0]
+    writes = cell.table.write_count
+    cell.run(helper, helper.ownership.release(0, cell.at(helper)))
+    cell.deliver_all()
+    assert cell.table.write_count == writes
+
+
+def test_leave_loses_no_id_between_the_intervals(cell):
+    """Guards against a gap that nobody serves after a graceful leave."""
+    (owner,) = cell.owners()
+    assert standing(cell, owner, 0) == "accept"
+    closed_ms = fakes.START_MS + int(cell.now_s * 1000)
+    cell.run(owner, owner.ownership.begin_leave(cell.at(owner)))
+    cell.advance(5.0)
+    (heir,) = cell.owners()
+    assert heir is not owner
+    assert heir.held(0)[0][0] == closed_ms
+    assert owner.ownership.has_left()
+
+
+def test_shards_move_to_members_without_any():
+    """Guards against one agent that holds all shards."""
+    cell = fakes.Cell(count=1, shard_count=4)
+    cell.advance(10.0)
+    assert cell.nodes[0].ownership.owned() == (0, 1, 2, 3)
+    cell.add(1)
+    cell.add(2)
+    cell.advance(90.0)
+    counts = sorted(len(n.ownership.owned()) for n in cell.nodes)
+    assert counts == [1, 1, 2]
+
+
+def test_ids_far_ahead_extend_at_most_30_s(cell):
+    """Guards against ids that the entry's clock check cannot cover."""
+    (owner,) = cell.owners()
+    for offset_ms in (25_000, 55_000):
+        time_ms = cell.at(owner).wall_ms + offset_ms
+        actions = owner.ownership.wants(fakes.work_id(time_ms), cell.at(owner))
+        cell.run(owner, actions)
+        cell.deliver_all()
+    assert standing(cell, owner, 25_000) == "accept"
+    assert standing(cell, owner, 31_000) == "ahead"
+
+
+def test_successors_are_in_other_failure_domains():
+    """Guards against a failure domain that takes owner and successors."""
+    nodes = [
+        fakes.Node(name=f"a{i}", incarnation=1, index=i) for i in range(6)
+    ]
+    chosen = rows.choose_successors(
+        0, owner=nodes[0].member, view=[n.member for n in nodes]
+    )
+    by_id = {n.node: n.member.failure_domain for n in nodes}
+    domains = {by_id[s.node] for s in chosen}
+    assert domains == {"domain-1", "domain-2"}
+
+
+def test_leaving_members_become_no_successors():
+    """Guards against a successor that is about to exit."""
+    nodes = [
+        fakes.Node(name=f"a{i}", incarnation=1, index=i) for i in range(2)
+    ]
+    leaving = dataclasses.replace(nodes[1].member, state=members.State.LEAVING)
+    chosen = rows.choose_successors(0, owner=nodes[0].member, view=[leaving])
+    assert chosen == ()
