Bound admission cost and test the dispatcher's failures

Cause: admission summed over all keepers for every submission, the rate of team starts lost a start to rounding, and jobs on workers were judged by a slot count that workers do not have.

Change: pools keep totals that are recounted when members change, the expected wait is bounded cheaply before the queue is looked at, speeds are reviewed twice a second and slow minions are passed over while a fast one should end the task earlier. Owners can hand records over in batches.

--- /dev/null
+++ b/bench/dispatcher_cost.py
@@ -0,0 +1,225 @@
+"""Processor time of the coordinator per task start.
+
+Run with ``python -m bench.dispatcher_cost``. Keepers are stubs that end
+every task at once; only the time inside the coordinator is counted, from
+the submission to the answer, results included.
+"""
+
+import random
+import time
+
+import fire
+
+from _jasminewind import configuration
+from _jasminewind import ids
+from _jasminewind import members
+from _jasminewind import resources
+from _jasminewind.decisions import coordinator
+from _jasminewind.decisions import core
+from _jasminewind.decisions import verdicts
+from _jasminewind.messages import tasks
+from _jasminewind.messages import work
+
+ENTRY = members.NodeId("entry", 1)
+START_WALL_MS = 1_796_000_000_000
+SLOTS = 8
+CORES = 32.0
+TASK_CORES = 2.0
+RUN_S = 0.2
+# Work offered, as a multiple of what the endpoints can run at once.
+OFFERED = 2.0
+
+
+class Owner:
+    """Ownership that accepts every id."""
+
+    def judge(self, work_id: str, now: core.Instant) -> verdicts.Verdict:
+        """Accept the id."""
+        del work_id, now
+        return verdicts.Verdict(kind=verdicts.VerdictKind.ACCEPT)
+
+    def wants(self, work_id: str, now: core.Instant) -> core.Actions:
+        """Do nothing, because no id is ahead."""
+        del work_id, now
+        return []
+
+    def owned(self) -> tuple[int, ...]:
+        """Own every shard."""
+        return (0, 1, 2, 3)
+
+
+class Bench:
+    """A coordinator under load from stub keepers."""
+
+    def __init__(self, *, keepers: int, is_job: bool, policy: str) -> None:
+        self.rng = random.Random(1)
+        self.is_job = is_job
+        self.now_s = 0.0
+        self.spent_s = 0.0
+        self.starts = 0
+        self.messages = 0
+        self.open = 0
+        self.running: dict[members.NodeId, list[tasks.TaskKey]] = {}
+        self.sequence: dict[members.NodeId, int] = {}
+        self.capacity = resources.Resources(slots=SLOTS)
+        kind = members.EndpointKind.MINION
+        if is_job:
+            self.capacity = resources.Resources(
+                cores=CORES, memory_mb=128_000.0
+            )
+            kind = members.EndpointKind.WORKER
+        view = tuple(
+            members.Member(
+                node=members.NodeId(f"agent-{index}", 1),
+                address=members.Address("127.0.0.1", index),
+                role=members.Role.AGENT,
+                region="here",
+                failure_domain=f"domain-{index % 3}",
+                rack=f"rack-{index // 9}",
+                state=members.State.SERVING,
+                endpoint=members.Endpoint(
+                    name=f"endpoint-{index}",
+                    kind=kind,
+                    service="" if is_job else "orders",
+                    capacity=self.capacity,
+                    connections=64,
+                ),
+                load=members.Load(
+                    sequence=1,
+                    free=self.capacity,
+                    free_long=self.capacity.scaled(0.75),
+                ),
+            )
+            for index in range(keepers)
+        )
+        for member in view:
+            self.running[member.node] = []
+            self.sequence[member.node] = 1
+        self.target = coordinator.Coordinator(
+            member=view[0], ownership=Owner(), rng=random.Random(2)
+        )
+        config = configuration.Configuration(
+            version=1,
+            teams=tuple(
+                configuration.Team(
+                    name=f"team-{index}",
+                    max_in_flight=10**9,
+                    starts_per_s=1e9,
+                )
+                for index in range(10)
+            ),
+            policy=configuration.Policy(routing=policy),
+        )
+        self.call(self.target.on_config, config)
+        self.call(self.target.on_members, view)
+
+    def call(self, method: object, *args: object) -> None:
+        """Call the coordinator, count its time and carry out actions."""
+        now = core.Instant(self.now_s, START_WALL_MS + int(self.now_s * 1000))
+        start_s = time.perf_counter()
+        actions = method(*args, now)
+        self.spent_s += time.perf_counter() - start_s
+        for action in actions:
+            if not isinstance(action, core.Send):
+                continue
+            message = action.message
+            self.messages += 1
+            if isinstance(message, work.Answer):
+                self.open -= 1
+                assert message.error is None, message.error
+            elif isinstance(message, tasks.StartTasks):
+                running = self.running[action.to]
+                running.extend(start.key for start in message.starts)
+                self.starts += len(message.starts)
+
+    def submit(self, count: int) -> None:
+        """Submit one job or request."""
+        task = work.Task(
+            name="task",
+            service="orders",
+            method="quote",
+            demand=(
+                resources.Resources(cores=TASK_CORES, memory_mb=512.0)
+                if self.is_job
+                else resources.ONE_SLOT
+            ),
+        )
+        message = work.Submit(
+            work_id=ids.new(
+                wall_ms=START_WALL_MS + int(self.now_s * 1000), rng=self.rng
+            ),
+            kind=(work.WorkKind.JOB if self.is_job else work.WorkKind.REQUEST),
+            team=f"team-{self.rng.randrange(10)}",
+            tasks=(task,) * count,
+            budget_s=600.0,
+            config_version=1,
+        )
+        self.open += 1
+        self.call(self.target.on_message, ENTRY, message)
+
+    def end_some(self) -> None:
+        """End a few tasks on every keeper."""
+        for node, keys in self.running.items():
+            count = self.rng.randrange(1, 4)
+            ended, keys[:] = keys[:count], keys[count:]
+            if not ended:
+                continue
+            self.sequence[node] += 1
+            demand = resources.Resources(slots=1.0)
+            if self.is_job:
+                demand = resources.Resources(cores=TASK_CORES, memory_mb=512.0)
+            free = self.capacity - demand.scaled(float(len(keys)))
+            message = tasks.TaskResults(
+                keeper=node,
+                results=tuple(
+                    tasks.TaskResult(
+                        key=key, run_s=RUN_S * self.rng.uniform(0.8, 1.2)
+                    )
+                    for key in ended
+                ),
+                load=members.Load(
+                    sequence=self.sequence[node], free=free, free_long=free
+                ),
+            )
+            self.call(self.target.on_message, node, message)
+
+
+def measure(
+    *, keepers: int, count: int, is_job: bool, policy: str, starts: int
+) -> str:
+    """Return one line with the cost per start."""
+    bench = Bench(keepers=keepers, is_job=is_job, policy=policy)
+    per_keeper = CORES / TASK_CORES if is_job else SLOTS
+    target = int(keepers * per_keeper * OFFERED / count) + 1
+    bench.spent_s = 0.0
+    while bench.starts < starts:
+        while bench.open < target:
+            bench.submit(count)
+        bench.end_some()
+        bench.now_s += RUN_S / 4
+        bench.call(bench.target.on_tick)
+    cost_us = bench.spent_s / bench.starts * 1e6
+    kind = "job" if is_job else "request"
+    per_start = bench.messages / bench.starts
+    return (
+        f"{policy:20} {kind:8} keepers={keepers:4} tasks={count:4} "
+        f"{cost_us:7.1f} us/start {per_start:5.2f} messages/start"
+    )
+
+
+def main(*, starts: int = 30_000, policy: str = "expected_completion") -> None:
+    """Print the cost per start for each shape of work."""
+    for is_job, count in ((False, 1), (True, 1), (True, 110)):
+        for keepers in (11, 110):
+            line = measure(
+                keepers=keepers,
+                count=count,
+                is_job=is_job,
+                policy=policy,
+                starts=starts,
+            )
+            print(line, flush=True)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/src/_jasminewind/decisions/admission.py
+++ b/src/_jasminewind/decisions/admission.py
@@ -12,6 +12,8 @@
 
 # Share of suspect keepers above which the view is taken to be at fault.
 SHRUNK_SHARE = 1.0 / 3.0
+# Rounding of the rate must not cost a start.
+TOKEN_ROUNDING = 1e-6
 # Starts that a keeper may hold beyond its slots.
 KEEPER_QUEUE = 2
 NEW_ID_ADVICE = "submit it again with a new id"
@@ -140,8 +142,10 @@
             )
         rate = team.starts_per_s * quota_share
         use.refill(rate, now.mono_s)
-        is_full = use.tokens >= rate and count <= team.starts_per_s
-        if use.tokens < count and not is_full:
+        is_full = (
+            use.tokens + TOKEN_ROUNDING >= rate and count <= team.starts_per_s
+        )
+        if use.tokens + TOKEN_ROUNDING < count and not is_full:
             return exhausted(
                 f"team {team.name} exceeds its share of "
                 f"{rate:.1f} starts per second here"
@@ -151,7 +155,7 @@
     def refuse_shrunk(self, run: runs.Run) -> errors.WorkError | None:
         """Cap the load when many keepers became suspect at once."""
         pool = run.pool
-        suspects = pool.suspects()
+        suspects = pool.suspects
         if suspects <= len(pool.keepers) * SHRUNK_SHARE:
             return None
         rest = [
@@ -176,7 +180,7 @@
         if not self.config.policy.shed_by_deadline:
             return None
         need_s = max(runtimes.learned_s(task.times) for task in run.tasks)
-        wait_s = expected_wait_s(run, self.config.policy)
+        wait_s = expected_wait_s(run, self.config.policy, left_s - need_s)
         if wait_s + need_s <= left_s:
             return None
         return exhausted(
@@ -185,23 +189,31 @@
         )
 
 
-def expected_wait_s(run: runs.Run, policy: configuration.Policy) -> float:
+def expected_wait_s(
+    run: runs.Run, policy: configuration.Policy, left_s: float
+) -> float:
     """Return how long the last task of a run is expected to wait.
 
     Every outstanding task works off one task second per second, so the
-    number of tasks that this coordinator holds on endpoints is the rate
-    at which its queue shrinks.
+    number of tasks that run for this coordinator is the rate at which its
+    queue shrinks. The estimate starts with bounds that cost little and
+    goes on only while they do not show that the time suffices.
     """
     pool = run.pool
-    task = max(run.tasks, key=lambda each: each.is_long)
-    queue = pool.queue(task.is_long and policy.separate_long_work)
+    is_long = any(task.is_long for task in run.tasks)
+    queue = pool.queue(is_long and policy.separate_long_work)
     own_s = sum(runtimes.learned_s(each.times) for each in run.tasks[1:])
-    if len(queue) == 0:
-        queued_s = 0.0
-    else:
-        team = run.team if policy.fair_share else ""
-        queued_s = queue.ahead_s(team, run.deadline_s)
-    rate = max(pool.outstanding, pool.own_capacity(), 1)
+    queued_s = queue.cost_s if len(queue) > 0 else 0.0
+    rate = max(float(pool.outstanding), 1.0)
+    if queued_s + own_s <= left_s * rate:
+        return (queued_s + own_s) / rate
+    amounts = run.tasks[0].amounts
+    free = pool.free_for(amounts)
+    rate = max(rate + free, pool.capacity_for(amounts) / pool.coordinators)
+    if queued_s + own_s <= left_s * rate or len(queue) == 0:
+        return (queued_s + own_s) / rate
+    team = run.team if policy.fair_share else ""
+    queued_s = queue.ahead_s(team, run.deadline_s)
     return (queued_s + own_s) / rate
 
 
--- a/src/_jasminewind/decisions/coordinator.py
+++ b/src/_jasminewind/decisions/coordinator.py
@@ -7,6 +7,7 @@
 
 from _jasminewind import configuration
 from _jasminewind import errors
+from _jasminewind import ids
 from _jasminewind import members
 from _jasminewind.decisions import admission
 from _jasminewind.decisions import core
@@ -21,9 +22,13 @@
 # A submission whose id is ahead of the interval, or whose configuration is
 # newer than ours, waits this long for either to catch up.
 PENDING_LIMIT_S = 2.0
+# Promises can be lost, so the extension is asked for again.
+ASK_AGAIN_S = 0.5
 # Submissions that may wait for ownership or configuration at once.
 MAX_PENDING = 2_000
 EXPIRE_PERIOD_S = 10.0
+# Payload of one hand-over message in bytes, well below the frame limit.
+HAND_OVER_BYTES = 256 * 1024
 # Entries are not members of the cell; the node has a link to the sender of
 # every message and needs no address to answer on it.
 NO_ADDRESS = members.Address("", 0)
@@ -68,6 +73,7 @@
     submit: work.Submit
     requesters: list[members.NodeId]
     since_s: float
+    asked_s: float
     is_ahead: bool
 
 
@@ -355,6 +361,7 @@
             submit=submit,
             requesters=requesters,
             since_s=now.mono_s,
+            asked_s=now.mono_s,
             is_ahead=is_ahead,
         )
         return []
@@ -375,6 +382,11 @@
                 del self.pending[work_id]
                 submit = self.spend_wait(pending, now)
                 actions.extend(self.judge(submit, pending.requesters, now))
+            elif pending.is_ahead and (
+                now.mono_s - pending.asked_s >= ASK_AGAIN_S
+            ):
+                pending.asked_s = now.mono_s
+                actions.extend(self.ownership.wants(work_id, now))
         return actions
 
     def can_judge(self, pending: Pending, now: core.Instant) -> bool:
@@ -520,6 +532,53 @@
         )
         return [self.reply(sender, ack)]
 
+    def hand_over(
+        self,
+        *,
+        shard: int,
+        epoch: int,
+        to: members.NodeId,
+        address: members.Address,
+    ) -> core.Actions:
+        """Send the finished records of a shard to its new owner."""
+        actions: core.Actions = []
+        batch: list[work.Answer] = []
+        size = 0
+        shard_count = self.config.shard_count
+        for answer in self.ledger.answers():
+            if ids.shard_of(answer.work_id, shard_count=shard_count) != shard:
+                continue
+            batch.append(answer)
+            size += answer_bytes(answer)
+            if size >= HAND_OVER_BYTES:
+                actions.append(hand_over(shard, epoch, batch, to, address))
+                batch = []
+                size = 0
+        if batch or not actions:
+            actions.append(hand_over(shard, epoch, batch, to, address))
+        return actions
+
+
+def answer_bytes(answer: work.Answer) -> int:
+    """Return about how many bytes an answer takes in a message."""
+    overhead = 256
+    outputs = sum(len(each.payload) + overhead for each in answer.outputs)
+    return overhead + outputs
+
+
+def hand_over(
+    shard: int,
+    epoch: int,
+    batch: list[work.Answer],
+    to: members.NodeId,
+    address: members.Address,
+) -> core.Action:
+    """Return the action that sends one batch of records."""
+    message = ownership_messages.HandOver(
+        shard=shard, epoch=epoch, answers=tuple(batch)
+    )
+    return core.Send(to=to, address=address, message=message)
+
 
 def unavailable(reason: str) -> errors.WorkError:
     """Return the refusal of work while this process is not ready."""
--- a/src/_jasminewind/decisions/dispatcher.py
+++ b/src/_jasminewind/decisions/dispatcher.py
@@ -45,6 +45,8 @@
 MAX_PASSED_OVER = 4
 # A task that waited this long is not passed over any more.
 MAX_PASSED_OVER_S = 5.0
+# Time between reviews of which keepers are fast.
+REVIEW_PERIOD_S = 0.5
 # Names of candidates in one line of the decision log.
 MAX_LOGGED_CANDIDATES = 4
 
@@ -103,6 +105,7 @@
         self.timers: list[Timer] = []
         self.sequence = itertools.count()
         self.coordinators = 1
+        self.next_review_s = 0.0
         self.answers: list[work.Answer] = []
         self.ended: list[runs.Run] = []
         self.actions: core.Actions = []
@@ -127,6 +130,7 @@
             keeper.serving = self.is_serving(keeper.member)
         for pool in self.pools.values():
             pool.binds_early = self.policy.binds_early
+            pool.recount()
             for keeper in pool.keepers:
                 pool.refresh(keeper, now.mono_s)
 
@@ -158,8 +162,10 @@
             if keeper.node not in seen and keeper.present:
                 keeper.present = False
                 keeper.absent_since_s = now.mono_s
-                self.pool_of(keeper).refresh(keeper, now.mono_s)
+                keeper.pool.refresh(keeper, now.mono_s)
                 self.arm(now.mono_s + ABSENT_GRACE_S, keeper)
+        for pool in self.pools.values():
+            pool.recount()
 
     def update_keeper(
         self,
@@ -176,23 +182,28 @@
             if member.node.incarnation > newer:
                 self.lose_keeper(earlier, now, "it was replaced")
             elif pool_key(earlier.endpoint) != pool_key(endpoint):
-                self.pool_of(earlier).drop_keeper(earlier)
+                earlier.pool.drop_keeper(earlier)
                 earlier.endpoint = endpoint
                 self.pool(pool_key(endpoint)).add_keeper(earlier)
         keeper = self.keepers.get(member.node)
         if keeper is None:
-            keeper = pools.KeeperState(member, endpoint)
+            pool = self.pool(pool_key(endpoint))
+            keeper = pools.KeeperState(member, endpoint, pool)
             self.keepers[member.node] = keeper
             self.names[member.node.name] = keeper
-            self.pool(pool_key(endpoint)).add_keeper(keeper)
+            pool.add_keeper(keeper)
         keeper.member = member
         keeper.endpoint = endpoint
         keeper.address = member.address
         keeper.present = True
+        became_suspect = member.suspect and not keeper.suspect
         keeper.suspect = member.suspect
         keeper.serving = self.is_serving(member)
         keeper.apply_load(member.load, now.mono_s, self.coordinators)
-        self.pool_of(keeper).refresh(keeper, now.mono_s)
+        keeper.pool.refresh(keeper, now.mono_s)
+        if became_suspect:
+            for attempt in keeper.outstanding.values():
+                self.hedge(attempt, now)
 
     def pool(self, key: pools.PoolKey) -> pools.Pool:
         """Return the pool of a kind of endpoint."""
@@ -204,10 +215,6 @@
             self.pools[key] = found
         return found
 
-    def pool_of(self, keeper: pools.KeeperState) -> pools.Pool:
-        """Return the pool that a keeper belongs to."""
-        return self.pool(pool_key(keeper.endpoint))
-
     def pool_for(self, submit: work.Submit) -> pools.Pool:
         """Return the pool that can run a submission."""
         if submit.kind == work.WorkKind.JOB:
@@ -224,9 +231,12 @@
         del self.keepers[keeper.node]
         if self.names.get(keeper.node.name) is keeper:
             del self.names[keeper.node.name]
-        self.pool_of(keeper).drop_keeper(keeper)
-        for waiting in (self.starts, self.stops, self.queries):
-            waiting.pop(keeper, None)
+        keeper.present = False
+        pool = keeper.pool
+        pool.drop_keeper(keeper)
+        pool.recount()
+        self.stops.pop(keeper, None)
+        self.queries.pop(keeper, None)
         for attempt in list(keeper.outstanding.values()):
             self.resolve(attempt, now)
             attempt.task.maybe_run = True
@@ -406,8 +416,10 @@
             team, task = head
             candidates = self.candidates(pool, task, now.mono_s)
             if candidates:
-                queue.take(team, task)
                 keeper = self.policy.choose(candidates, task, now.mono_s)
+                if self.policy.should_wait(keeper, len(queue)):
+                    break
+                queue.take(team, task)
                 self.start(task, keeper, candidates, now)
                 continue
             # Requests all need one slot; only jobs differ in size.
@@ -514,8 +526,7 @@
                 choice=keeper.node.name,
                 reason=(
                     f"{self.policy.name}: slowness {keeper.slowness:.2f}, "
-                    f"{len(keeper.outstanding)} own tasks there, "
-                    f"{len(candidates)} candidates"
+                    f"{len(keeper.outstanding)} own tasks there"
                 ),
             )
         )
@@ -583,7 +594,9 @@
         """Queue a second attempt of a repeatable request."""
         task = attempt.task
         if (
-            task.run.answered
+            not task.task.repeatable
+            or not task.run.is_request
+            or task.run.answered
             or task.finished
             or task.waiting
             or attempt.stopping
@@ -662,7 +675,7 @@
             self.take_status(attempt, status, now)
         if keeper is not None:
             keeper.absent_since_s = now.mono_s
-            self.pool_of(keeper).refresh(keeper, now.mono_s)
+            keeper.pool.refresh(keeper, now.mono_s)
         return stored
 
     def take_status(
@@ -719,7 +732,7 @@
         """Take the load in a message of a keeper, which is thus alive."""
         keeper.absent_since_s = now.mono_s
         keeper.apply_load(load, now.mono_s, self.coordinators)
-        self.pool_of(keeper).refresh(keeper, now.mono_s)
+        keeper.pool.refresh(keeper, now.mono_s)
 
     def on_link_lost(self, peer: members.NodeId, now: core.Instant) -> None:
         """Query every start whose answer may be lost with the link."""
@@ -743,7 +756,7 @@
         keeper = self.keepers.get(message.keeper)
         if keeper is not None:
             self.pause(keeper, now.mono_s)
-            self.pool_of(keeper).refresh(keeper, now.mono_s)
+            keeper.pool.refresh(keeper, now.mono_s)
 
     def on_query_not_sent(
         self, message: tasks.QueryTasks, now: core.Instant
@@ -768,10 +781,9 @@
         del self.attempts[attempt.key]
         attempt.keeper.remove(attempt)
         attempt.task.live.remove(attempt)
-        pool = attempt.task.run.pool
-        pool.outstanding -= 1
-        if attempt.keeper.node in self.keepers:
-            pool.refresh(attempt.keeper, now.mono_s)
+        attempt.task.run.pool.outstanding -= 1
+        # A keeper that is gone is not open: it is not in its pool any more.
+        attempt.keeper.pool.refresh(attempt.keeper, now.mono_s)
 
     def settle(
         self,
@@ -818,7 +830,7 @@
         if attempt.stopping or error.code in BLAMELESS_CODES:
             return
         keeper = attempt.keeper
-        pool = self.pool_of(keeper)
+        pool = keeper.pool
         if not outliers.record_failure(pool, keeper, now.mono_s):
             return
         self.arm(keeper.ejected_until_s, keeper)
@@ -936,6 +948,10 @@
                 self.check_run(subject, now)
             else:
                 self.check_keeper(subject, now)
+        if now_s >= self.next_review_s:
+            self.next_review_s = now_s + REVIEW_PERIOD_S
+            for pool in self.pools.values():
+                pool.review_speeds()
         for pool in self.pools.values():
             pool.dirty = pool.dirty or pool.waiting() > 0
 
@@ -951,7 +967,7 @@
                 self.lose_keeper(keeper, now, "it left the cell")
                 return
             self.arm(gone_s, keeper)
-        self.pool_of(keeper).refresh(keeper, now.mono_s)
+        keeper.pool.refresh(keeper, now.mono_s)
 
     def flush(self, now: core.Instant) -> core.Actions:
         """Start what can start and return everything to send."""
--- a/src/_jasminewind/decisions/ledger.py
+++ b/src/_jasminewind/decisions/ledger.py
@@ -75,6 +75,12 @@
         record.requesters = []
         return requesters
 
+    def answers(self) -> collections.abc.Iterator[work.Answer]:
+        """Return the stored answers."""
+        for record in self.records.values():
+            if record.answer is not None:
+                yield record.answer
+
     def expire(
         self,
         now: core.Instant,
--- a/src/_jasminewind/decisions/placement.py
+++ b/src/_jasminewind/decisions/placement.py
@@ -104,14 +104,14 @@
 
     Without any worker nothing is known, and the task may wait for one.
     """
-    if not pool.keepers:
+    if not pool.capacities:
         return True
-    return any(demand.fits(each.endpoint.capacity) for each in pool.keepers)
+    return any(demand.fits(each) for each in pool.capacities)
 
 
 def largest_worker(pool: pools.Pool) -> resources.Resources:
     """Return the largest amount of each resource on any worker."""
-    capacities = [each.endpoint.capacity for each in pool.keepers]
+    capacities = pool.capacities
     if not capacities:
         return resources.NOTHING
     return resources.Resources(
--- a/src/_jasminewind/decisions/pools.py
+++ b/src/_jasminewind/decisions/pools.py
@@ -16,6 +16,11 @@
 DEFAULT_CONNECTIONS = 64
 # A report older than this may hide what other coordinators have sent since.
 FRESH_REPORT_S = 0.1
+# Keepers within this factor of the fastest are fast.
+FAST_FACTOR = 1.3
+# Share by which the slowness of an unused keeper returns to 1 per review, so
+# that one that was slow for a while is tried again.
+SPEED_DRIFT = 0.02
 
 
 class KeeperState:
@@ -48,9 +53,16 @@
         "connections",
         "is_minion",
         "burst_left",
+        "pool",
     )
 
-    def __init__(self, member: members.Member, endpoint: members.Endpoint):
+    def __init__(
+        self,
+        member: members.Member,
+        endpoint: members.Endpoint,
+        pool: "Pool",
+    ) -> None:
+        self.pool = pool
         self.node = member.node
         self.address = member.address
         self.member = member
@@ -224,6 +236,14 @@
         self.dirty = False
         self.outstanding = 0
         self.coordinators = 1
+        # Capacity of the usable keepers in the order of resources.FIELDS.
+        self.total: tuple[float, ...] = ()
+        # Slowness of the fastest keeper, and own tasks on keepers that are
+        # about as fast.
+        self.best_slowness = 1.0
+        self.fast_outstanding = 0
+        self.suspects = 0
+        self.capacities: tuple[resources.Resources, ...] = ()
         self.short: fairness.FairQueue[runs.TaskRun] = fairness.FairQueue(
             weight=weight
         )
@@ -254,6 +274,7 @@
 
     def add_keeper(self, keeper: KeeperState) -> None:
         """Add a keeper at a random place, which mixes failure domains."""
+        keeper.pool = self
         place = self.rng.randrange(len(self.keepers) + 1)
         self.keepers.insert(place, keeper)
 
@@ -262,22 +283,61 @@
         self.keepers.remove(keeper)
         self.open.pop(keeper, None)
 
-    def own_capacity(self) -> float:
-        """Return about how many tasks can run here for this coordinator.
-
-        Workers give no figure, because the size of their tasks varies.
-        """
-        if self.key.kind == members.EndpointKind.WORKER:
-            return 0.0
-        slots = sum(
-            each.endpoint.capacity.slots
+    def recount(self) -> None:
+        """Update the counts over all keepers after their records changed."""
+        usable = [
+            each
             for each in self.keepers
             if each.present and each.serving and not each.suspect
+        ]
+        amounts = [as_amounts(each.endpoint.capacity) for each in usable]
+        self.total = tuple(sum(column) for column in zip(*amounts))
+        self.suspects = sum(
+            1 for each in self.keepers if each.suspect or not each.present
+        )
+        # In order of first occurrence, so that runs can be repeated.
+        self.capacities = tuple(
+            dict.fromkeys(each.endpoint.capacity for each in self.keepers)
         )
-        return slots / self.coordinators
 
-    def suspects(self) -> int:
-        """Return how many keepers are suspect or absent."""
-        return sum(
-            1 for each in self.keepers if each.suspect or not each.present
+    def capacity_for(self, amounts: tuple[float, ...]) -> float:
+        """Return how many tasks of this size all keepers can run."""
+        counts = [
+            have / need
+            for have, need in zip(self.total, amounts)
+            if need > 0.0
+        ]
+        return min(counts, default=0.0)
+
+    def free_for(self, amounts: tuple[float, ...]) -> float:
+        """Return how many tasks of this size have room now."""
+        count = 0.0
+        for keeper in self.open:
+            counts = [
+                max(free - pending, 0.0) // need
+                for free, pending, need in zip(
+                    keeper.free, keeper.pending, amounts
+                )
+                if need > 0.0
+            ]
+            count += min(counts, default=0.0)
+        return count
+
+    def review_speeds(self) -> None:
+        """Find the fast keepers, and let unused ones be tried again."""
+        usable = [
+            each
+            for each in self.keepers
+            if each.present and each.serving and not each.suspect
+        ]
+        for keeper in usable:
+            if not keeper.outstanding:
+                drift = SPEED_DRIFT * (1.0 - keeper.slowness)
+                keeper.slowness += drift
+        self.best_slowness = min(
+            (each.slowness for each in usable), default=1.0
+        )
+        limit = self.best_slowness * FAST_FACTOR
+        self.fast_outstanding = sum(
+            len(each.outstanding) for each in usable if each.slowness <= limit
         )
--- a/src/_jasminewind/decisions/routing.py
+++ b/src/_jasminewind/decisions/routing.py
@@ -41,6 +41,11 @@
     ) -> pools.KeeperState:
         """Return one of the candidates, of which there is at least one."""
 
+    def should_wait(self, keeper: pools.KeeperState, queued: int) -> bool:
+        """Tell whether to wait for a better keeper than the chosen one."""
+        del keeper, queued
+        return False
+
 
 class ExpectedCompletion(RoutingPolicy):
     """Chooses the keeper where the task should complete first."""
@@ -66,6 +71,20 @@
                 best_score = score
         return best
 
+    def should_wait(self, keeper: pools.KeeperState, queued: int) -> bool:
+        """Tell whether a fast endpoint should complete the task earlier.
+
+        With ``n`` own tasks on fast endpoints, one of them ends each
+        ``1/n`` of a run time, so the last of ``queued`` tasks waits about
+        ``queued/n`` run times. All figures are in typical run times.
+        """
+        pool = keeper.pool
+        if not keeper.is_minion or pool.fast_outstanding == 0:
+            return False
+        fast = pool.best_slowness
+        wait = fast * (queued + 1) / pool.fast_outstanding
+        return keeper.slowness > fast * pools.FAST_FACTOR + wait
+
 
 def expected_completion(keeper: pools.KeeperState, now_s: float) -> float:
     """Return the expected run time there, 1 for a typical idle endpoint."""
--- a/src/_jasminewind/decisions/runtimes.py
+++ b/src/_jasminewind/decisions/runtimes.py
@@ -10,8 +10,8 @@
 # seconds, so that estimates follow a change within two windows.
 WINDOW_SAMPLES = 500
 WINDOW_S = 60.0
-# Estimates are computed again after this many new samples.
-REFRESH_SAMPLES = 32
+# Estimates are computed again when this share of the samples is new.
+REFRESH_SHARE = 0.125
 # The declared run time counts as this many samples.
 PRIOR_SAMPLES = 3.0
 # Run time assumed when nothing was learned or declared, in seconds.
@@ -49,9 +49,7 @@
         self.current.record_value(value_ms)
         self.samples += 1
         self.since_refresh += 1
-        if self.samples <= MIN_SAMPLES or (
-            self.since_refresh >= REFRESH_SAMPLES
-        ):
+        if self.since_refresh >= self.samples * REFRESH_SHARE:
             self.refresh()
 
     def rotate(self, now_s: float) -> None:
--- /dev/null
+++ b/testing/decisions/test_dispatcher.py
@@ -0,0 +1,429 @@
+"""Tests of starts, lost answers, retries and the use of room."""
+
+import dataclasses
+
+from _jasminewind import configuration
+from _jasminewind import errors
+from _jasminewind import members
+from _jasminewind import resources
+from _jasminewind.decisions import dispatcher
+from _jasminewind.decisions import outliers
+from _jasminewind.messages import tasks
+from _jasminewind.messages import work
+from testing.decisions import conftest
+
+JOB = work.WorkKind.JOB
+COMPLETE = work.WorkState.COMPLETE
+Outcome = errors.Outcome
+Code = errors.Code
+
+
+def holder(harness):
+    """Return the only keeper that runs something, and its task."""
+    found = [
+        (keeper, key)
+        for keeper in harness.keepers.values()
+        for key in keeper.running
+    ]
+    assert len(found) == 1
+    return found[0]
+
+
+def queries(harness):
+    """Return the keys of every query that is on its way."""
+    return [
+        key
+        for send in harness.mail
+        if isinstance(send.message, tasks.QueryTasks)
+        for key in send.message.keys
+    ]
+
+
+def test_lost_result_is_queried_and_found(harness):
+    """Guards against a caller that waits for an answer that was lost."""
+    work_id = harness.submit()
+    harness.deliver()
+    keeper, key = holder(harness)
+    keeper.end(key)
+    harness.advance(dispatcher.MIN_DUE_S + 0.1)
+    assert queries(harness) == [key]
+    harness.deliver()
+    assert harness.answer(work_id).state == COMPLETE
+    assert harness.sent[-1].message == tasks.ResultsAck(keys=(key,))
+    assert len(keeper.received) == 1
+
+
+def test_lost_start_is_placed_elsewhere_only_after_a_tombstone(harness):
+    """Guards against running a task twice when its start was delayed."""
+    work_id = harness.submit()
+    delayed = harness.mail.pop()
+    harness.run(harness.coordinator.on_link_lost(delayed.to, harness.now))
+    key = delayed.message.starts[0].key
+    assert queries(harness) == [key]
+    harness.advance(1.0)
+    sent = [each.message for each in harness.mail]
+    assert not any(isinstance(each, tasks.StartTasks) for each in sent)
+    harness.deliver()
+    assert key in harness.keepers[delayed.to].tombstones
+    harness.mail.append(delayed)
+    harness.deliver()
+    assert key not in harness.keepers[delayed.to].running
+    harness.finish()
+    assert harness.answer(work_id).state == COMPLETE
+
+
+def test_running_task_is_not_started_again_after_a_query(harness):
+    """Guards against a second start of a task that only runs long."""
+    work_id = harness.submit()
+    harness.deliver()
+    for _ in range(20):
+        harness.advance(1.0)
+        harness.deliver()
+    keeper, key = holder(harness)
+    harness.give(keeper.node, keeper.end(key))
+    assert harness.answer(work_id).state == COMPLETE
+    received = [each.received for each in harness.keepers.values()]
+    assert sum(len(keys) for keys in received) == 1
+
+
+def test_repeated_and_reordered_results_change_nothing(harness):
+    """Guards against results that are counted for another task."""
+    ids_sent = [harness.submit() for _ in range(6)]
+    harness.deliver()
+    messages = []
+    for keeper in harness.keepers.values():
+        for key in list(keeper.running):
+            messages.append((keeper.node, keeper.end(key)))
+    for node, message in reversed(messages):
+        harness.give(node, message)
+        harness.give(node, message)
+    for node, message in messages:
+        harness.give(node, message)
+    for work_id in ids_sent:
+        assert harness.answer(work_id).state == COMPLETE
+    assert harness.coordinator.status().tasks_outstanding == 0
+
+
+def test_result_from_another_keeper_is_ignored(harness):
+    """Guards against a result that its keeper never had a start for."""
+    work_id = harness.submit()
+    harness.deliver()
+    keeper, key = holder(harness)
+    other = next(each for each in harness.keepers.values() if each != keeper)
+    other.done[key] = tasks.TaskResult(key=key, run_s=0.1)
+    harness.give(other.node, other.results(key))
+    assert harness.answer(work_id) is None
+
+
+def test_refused_start_is_placed_elsewhere(harness):
+    """Guards against failing work that a full keeper refused."""
+    first = next(iter(harness.keepers.values()))
+    first.refuses = True
+    ids_sent = [harness.submit() for _ in range(12)]
+    harness.deliver()
+    harness.finish()
+    for work_id in ids_sent:
+        assert harness.answer(work_id).state == COMPLETE
+    assert len(first.received) <= 12
+
+
+def test_refusing_keeper_is_not_tried_again_at_once(make_harness):
+    """Guards against messages wasted on a keeper that refuses all."""
+    harness = make_harness(minions=1)
+    keeper = next(iter(harness.keepers.values()))
+    keeper.refuses = True
+    harness.submit(budget_s=30.0)
+    for _ in range(50):
+        harness.deliver()
+        harness.advance(0.1)
+    assert len(keeper.received) <= 12
+    keeper.refuses = False
+    harness.advance(dispatcher.MAX_REFUSAL_PAUSE_S + 0.1)
+    harness.finish()
+    assert len(harness.answers) == 1
+
+
+def test_start_that_was_not_written_goes_elsewhere(harness):
+    """Guards against waiting for a start that never left."""
+    work_id = harness.submit()
+    lost = harness.mail.pop()
+    harness.run(
+        harness.coordinator.on_send_failed(lost.to, lost.message, harness.now)
+    )
+    harness.finish()
+    assert harness.answer(work_id).state == COMPLETE
+    assert harness.keepers[lost.to].received == []
+
+
+def replace_keeper(harness, keeper):
+    """Let a new incarnation take the place of a keeper."""
+    del harness.keepers[keeper.node]
+    node = dataclasses.replace(
+        keeper.node, incarnation=keeper.node.incarnation + 1
+    )
+    harness.add_keeper(dataclasses.replace(keeper.member, node=node))
+    harness.announce()
+
+
+def test_task_of_a_gone_keeper_may_have_run(harness):
+    """Guards against running work again that is not repeatable."""
+    work_id = harness.submit()
+    harness.deliver()
+    keeper, _ = holder(harness)
+    replace_keeper(harness, keeper)
+    error = harness.answer(work_id).error
+    assert error.outcome == Outcome.MAY_HAVE_RUN
+    assert not harness.mail
+
+
+def test_repeatable_task_of_a_gone_keeper_is_retried(harness):
+    """Guards against failing work that may safely run again."""
+    work_id = harness.submit(repeatable=True)
+    harness.deliver()
+    keeper, key = holder(harness)
+    replace_keeper(harness, keeper)
+    harness.finish()
+    assert harness.answer(work_id).state == COMPLETE
+    late = tasks.TaskResults(
+        keeper=keeper.node,
+        results=(tasks.TaskResult(key=key, run_s=0.1),),
+        load=members.Load(sequence=99),
+    )
+    harness.give(keeper.node, late)
+    assert len(harness.answers) == 1
+
+
+def test_absent_keeper_is_gone_only_after_a_grace_time(harness):
+    """Guards against giving up tasks over a short gap in the view."""
+    work_id = harness.submit()
+    harness.deliver()
+    keeper, _ = holder(harness)
+    harness.announce(without=(keeper.node.name,))
+    harness.advance(dispatcher.ABSENT_GRACE_S - 0.5)
+    assert harness.answer(work_id) is None
+    harness.advance(1.0)
+    assert harness.answer(work_id).error.outcome == Outcome.MAY_HAVE_RUN
+
+
+def test_retries_stay_within_the_budget(harness):
+    """Guards against a retry storm when everything fails."""
+    for _ in range(100):
+        harness.submit(repeatable=True)
+    harness.finish()
+    error = conftest.failure(Outcome.FAILED_WHILE_RUNNING)
+    before = sum(len(each.received) for each in harness.keepers.values())
+    failing = [harness.submit(repeatable=True) for _ in range(50)]
+    harness.finish(error=error)
+    after = sum(len(each.received) for each in harness.keepers.values())
+    assert after - before <= 50 + 10 + 2
+    for work_id in failing:
+        assert harness.answer(work_id).state == work.WorkState.FAILED
+
+
+def test_failed_task_that_is_not_repeatable_runs_once(harness):
+    """Guards against a second run of work that must not be repeated."""
+    work_id = harness.submit()
+    error = conftest.failure(Outcome.FAILED_WHILE_RUNNING)
+    harness.finish(error=error)
+    outcome = harness.answer(work_id).error.outcome
+    assert outcome == Outcome.FAILED_WHILE_RUNNING
+    received = [each.received for each in harness.keepers.values()]
+    assert sum(len(keys) for keys in received) == 1
+
+
+def test_slow_repeatable_request_is_hedged(harness):
+    """Guards against a caller that waits for one stalled endpoint."""
+    for _ in range(40):
+        harness.submit(repeatable=True)
+        harness.finish()
+    work_id = harness.submit(repeatable=True)
+    harness.deliver()
+    slow, key = holder(harness)
+    harness.advance(0.5)
+    harness.deliver()
+    others = [
+        (keeper, other)
+        for keeper in harness.keepers.values()
+        for other in keeper.running
+        if other != key
+    ]
+    assert len(others) == 1
+    assert others[0][0] is not slow
+    harness.give(others[0][0].node, others[0][0].end(others[0][1]))
+    assert harness.answer(work_id).state == COMPLETE
+    harness.deliver()
+    assert slow.stopped == [key]
+
+
+def test_work_waits_here_while_keepers_are_full(make_harness):
+    """Guards against binding work before an endpoint has room."""
+    harness = make_harness(minions=2, slots=2)
+    for _ in range(20):
+        harness.submit()
+    harness.deliver()
+    assert len(harness.running()) == 4
+    assert harness.coordinator.status().tasks_waiting == 16
+    harness.finish()
+    assert len(harness.answers) == 20
+
+
+def test_freed_slot_is_used_again_at_once(make_harness):
+    """Guards against leaving a slot idle until the next report."""
+    harness = make_harness(minions=1, slots=1)
+    harness.submit()
+    second = harness.submit()
+    harness.deliver()
+    keeper, key = holder(harness)
+    harness.give(keeper.node, keeper.end(key))
+    assert harness.mail[-1].message.starts[0].key.work_id == second
+
+
+def test_old_load_report_does_not_open_a_keeper(make_harness):
+    """Guards against a late report that shows room long gone."""
+    harness = make_harness(minions=1, slots=1)
+    keeper = next(iter(harness.keepers.values()))
+    old = tasks.LoadReport(keeper=keeper.node, load=keeper.load())
+    newer = dataclasses.replace(
+        keeper.load(), free=resources.NOTHING, queued=1
+    )
+    harness.give(keeper.node, tasks.LoadReport(keeper=keeper.node, load=newer))
+    harness.give(keeper.node, old)
+    harness.submit()
+    assert not harness.mail
+
+
+def test_long_work_leaves_the_reserved_slots_to_short_work(make_harness):
+    """Guards against a stalled cut list that leaves the crew idle."""
+    harness = make_harness(minions=1, slots=8)
+    for _ in range(20):
+        harness.submit(method="cut_list", expected_s=60.0)
+    harness.deliver()
+    assert len(harness.running()) == 6
+    short = [harness.submit() for _ in range(2)]
+    harness.deliver()
+    started = {key.work_id for key in harness.running()}
+    assert started.issuperset(short)
+
+
+def test_running_work_that_passes_the_limit_becomes_long(harness):
+    """Guards against wrong declarations that hide long work."""
+    harness.submit(expected_s=0.1)
+    harness.deliver()
+    harness.advance(harness.config.policy.long_task_s + 0.2)
+    kinds = [log.kind for log in harness.logs]
+    assert kinds.count("reclassify") == 1
+
+
+def test_expired_queued_work_is_refused_as_not_run(make_harness):
+    """Guards against work that stays queued when it is too late."""
+    harness = make_harness(minions=1, slots=1)
+    harness.submit()
+    harness.deliver()
+    queued = harness.submit(budget_s=2.0)
+    harness.advance(2.1)
+    error = harness.answer(queued).error
+    assert error.outcome == Outcome.NOT_RUN
+    assert error.code == Code.RESOURCE_EXHAUSTED
+    harness.finish()
+    received = next(iter(harness.keepers.values())).received
+    assert queued not in {key.work_id for key in received}
+
+
+def test_running_work_is_stopped_at_its_deadline(harness):
+    """Guards against a caller without an answer after its deadline."""
+    work_id = harness.submit(budget_s=1.0)
+    harness.deliver()
+    harness.advance(1.1)
+    error = harness.answer(work_id).error
+    assert error.code == Code.DEADLINE_EXCEEDED
+    assert error.outcome == Outcome.MAY_HAVE_RUN
+    harness.deliver()
+    assert not harness.running()
+
+
+def test_keeper_that_fails_fast_does_not_attract_work(make_harness):
+    """Guards against an endpoint that wins work by failing at once."""
+    harness = make_harness(minions=6)
+    bad = next(iter(harness.keepers.values()))
+    error = conftest.failure(Outcome.FAILED_WHILE_RUNNING)
+    for _ in range(100):
+        harness.submit()
+        harness.deliver()
+        for keeper in harness.keepers.values():
+            for key in list(keeper.running):
+                ending = {"run_s": 0.01, "error": error}
+                if keeper is not bad:
+                    ending = {"run_s": 0.2}
+                harness.give(keeper.node, keeper.end(key, **ending))
+        harness.advance(0.05)
+    assert len(bad.received) < 15
+
+
+def test_at_most_a_third_of_the_endpoints_is_ejected(make_harness):
+    """Guards against ejecting endpoints until none are left."""
+    harness = make_harness(minions=9)
+    error = conftest.failure(Outcome.FAILED_WHILE_RUNNING)
+    bad = list(harness.keepers.values())[:5]
+    for _ in range(40):
+        for _ in range(20):
+            harness.submit()
+        harness.deliver()
+        for keeper in harness.keepers.values():
+            for key in list(keeper.running):
+                failed = error if keeper in bad else None
+                harness.give(keeper.node, keeper.end(key, error=failed))
+        states = harness.coordinator.dispatcher.keepers.values()
+        now_s = harness.now.mono_s
+        ejected = [each for each in states if each.ejected_until_s > now_s]
+        assert len(ejected) <= 9 * outliers.MAX_EJECTED_SHARE
+        harness.advance(0.1)
+
+
+def test_drained_and_suspect_keepers_get_no_work(harness):
+    """Guards against work for endpoints that are leaving or silent."""
+    drained, suspect, other = list(harness.keepers.values())
+    harness.configure(drained=(drained.member.endpoint.name,))
+    harness.announce(suspects=(suspect.node.name,))
+    for _ in range(4):
+        harness.submit()
+    harness.deliver()
+    assert len(other.received) == 4
+
+
+def test_faster_endpoint_gets_more_work(make_harness):
+    """Guards against treating endpoints of different speed alike."""
+    harness = make_harness(minions=2)
+    fast, slow = list(harness.keepers.values())
+    for _ in range(200):
+        harness.submit()
+        harness.deliver()
+        for keeper, run_s in ((fast, 0.1), (slow, 0.8)):
+            for key in list(keeper.running):
+                harness.give(keeper.node, keeper.end(key, run_s=run_s))
+    assert len(fast.received) > 3 * len(slow.received)
+
+
+def test_baselines_bind_early(make_harness):
+    """Guards against baselines that profit from late binding."""
+    for name in ("random", "round_robin", "least_outstanding"):
+        harness = make_harness(minions=2, slots=1)
+        policy = configuration.Policy(routing=name)
+        harness.configure(policy=policy)
+        for _ in range(20):
+            harness.submit()
+        harness.deliver()
+        received = [len(k.received) for k in harness.keepers.values()]
+        assert sum(received) == 20, name
+        assert min(received) > 0, name
+
+
+def test_each_routing_and_placement_is_logged(make_harness):
+    """Guards against decisions that an operator cannot explain."""
+    harness = make_harness(minions=2, workers=2)
+    request = harness.submit()
+    job = harness.submit(5, kind=JOB)
+    routing = [log for log in harness.logs if log.kind == "routing"]
+    placing = [log for log in harness.logs if log.kind == "placement"]
+    assert [log.work_id for log in routing] == [request]
+    assert [log.work_id for log in placing] == [job] * 5
+    assert all(log.choice and log.reason for log in routing + placing)
--- /dev/null
+++ b/testing/decisions/test_placement.py
@@ -0,0 +1,100 @@
+"""Tests of packing on workers and of learned sizes."""
+
+import collections
+
+import pytest
+
+from _jasminewind import resources
+from _jasminewind.decisions import placement
+from _jasminewind.messages import work
+
+JOB = work.WorkKind.JOB
+METHOD = ("orders", "cut")
+DECLARED = resources.Resources(cores=2.0, memory_mb=1000.0)
+
+
+def used(factor):
+    """Return a use that differs from the declaration by ``factor``."""
+    return DECLARED.scaled(factor)
+
+
+def test_one_report_moves_the_factor_by_a_fifth():
+    """Guards against one wrong report that changes the packing."""
+    factors = placement.UseFactors()
+    factors.observe(METHOD, DECLARED, used(100.0))
+    corrected = factors.corrected(METHOD, DECLARED, DECLARED.scaled(10.0))
+    assert corrected.cores == pytest.approx(2.4)
+    assert corrected.memory_mb == pytest.approx(1200.0)
+
+
+@pytest.mark.parametrize(("ratio", "limit"), [(100.0, 4.0), (0.01, 0.5)])
+def test_factor_stays_within_its_limits(ratio, limit):
+    """Guards against corrections that run away."""
+    factors = placement.UseFactors()
+    for _ in range(50):
+        factors.observe(METHOD, DECLARED, used(ratio))
+    corrected = factors.corrected(METHOD, DECLARED, DECLARED.scaled(10.0))
+    assert corrected.cores == pytest.approx(2.0 * limit)
+
+
+def test_correction_does_not_make_a_task_impossible():
+    """Guards against refusing work because of a learned size."""
+    factors = placement.UseFactors()
+    for _ in range(50):
+        factors.observe(METHOD, DECLARED, used(4.0))
+    largest = resources.Resources(cores=3.0, memory_mb=1500.0)
+    corrected = factors.corrected(METHOD, DECLARED, largest)
+    assert corrected.fits(largest)
+
+
+def test_workers_are_not_packed_beyond_their_capacity(make_harness):
+    """Guards against workers that start what does not fit."""
+    harness = make_harness(minions=0, workers=2, cores=8.0)
+    demand = resources.Resources(cores=3.0, memory_mb=10.0)
+    harness.submit(10, kind=JOB, demand=demand)
+    harness.deliver()
+    running = [len(each.running) for each in harness.keepers.values()]
+    assert running == [2, 2]
+
+
+def test_learned_use_reduces_what_is_packed(make_harness):
+    """Guards against overload by tasks that declare too little."""
+    harness = make_harness(minions=0, workers=1, cores=8.0)
+    demand = resources.Resources(cores=2.0)
+    for _ in range(12):
+        harness.submit(kind=JOB, demand=demand)
+        harness.finish(used=resources.Resources(cores=4.0))
+    harness.submit(10, kind=JOB, demand=demand)
+    harness.deliver()
+    assert len(harness.running()) == 2
+
+
+@pytest.mark.parametrize("count", [2, 6, 30])
+def test_job_is_spread_over_failure_domains(make_harness, count):
+    """Guards against one failure that takes every task of a job."""
+    harness = make_harness(minions=0, workers=9)
+    harness.submit(count, kind=JOB)
+    harness.deliver()
+    domains = collections.Counter()
+    racks = collections.Counter()
+    for keeper in harness.keepers.values():
+        domains[keeper.member.failure_domain] += len(keeper.running)
+        racks[keeper.member.rack] += len(keeper.running)
+    assert max(domains.values()) < count
+    assert max(racks.values()) < count
+
+
+def test_large_task_does_not_block_smaller_ones(make_harness):
+    """Guards against a head of the queue that fits nowhere now."""
+    harness = make_harness(minions=0, workers=2, cores=8.0)
+    small = resources.Resources(cores=1.0)
+    harness.submit(4, kind=JOB, demand=small)
+    harness.deliver()
+    large = resources.Resources(cores=8.0)
+    waiting = harness.submit(kind=JOB, demand=large, budget_s=10.0)
+    later = harness.submit(4, kind=JOB, demand=small)
+    harness.deliver()
+    started = [key.work_id for key in harness.running()]
+    assert started.count(later) == 4
+    harness.finish()
+    assert harness.answer(waiting).state == work.WorkState.COMPLETE
