Add a stateful fuzz test of the coordinator

Cause: combinations of faults were not tested. Change: a rule machine over the coordinator with fake keepers.

--- /dev/null
+++ b/testing/decisions/test_coordinator_fuzz.py
@@ -0,0 +1,300 @@
+"""Stateful fuzzing of the coordinator with fake keepers.
+
+The machine loses, repeats, delays and reorders messages, replaces keepers
+and cancels work, and checks the invariants that a coordinator alone can
+break against what the fake keepers really ran.
+"""
+
+import collections
+import dataclasses
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+from _jasminewind import errors
+from _jasminewind.messages import tasks
+from _jasminewind.messages import work
+from testing.decisions import conftest
+
+DEFAULT_EXAMPLES = 40
+STEPS = 50
+PICK = strategies.integers(min_value=0, max_value=10_000)
+Outcome = errors.Outcome
+
+
+class CoordinatorMachine(stateful.RuleBasedStateMachine):
+    """A coordinator, three minions and two workers on a bad network."""
+
+    def __init__(self):
+        super().__init__()
+        self.harness = conftest.Harness(minions=3, workers=2, slots=2)
+        self.submits = {}
+        self.askers = collections.defaultdict(set)
+        self.refused = set()
+        # Results on their way, which may be lost, repeated or reordered.
+        self.inbox = []
+        # How often each task was started, over all incarnations.
+        self.ran = collections.Counter()
+
+    def send(self, sender, message):
+        """Give a message to the coordinator."""
+        self.harness.give(sender, message)
+
+    @strategies.composite
+    @staticmethod
+    def shapes(draw):
+        """Return the shape of a submission."""
+        return (
+            draw(strategies.integers(min_value=1, max_value=6)),
+            draw(strategies.booleans()),
+            draw(strategies.booleans()),
+            draw(strategies.sampled_from([0.5, 3.0, 60.0])),
+        )
+
+    @stateful.rule(shape=shapes())
+    def submit(self, shape):
+        """Submit a new job or request."""
+        count, is_job, repeatable, budget_s = shape
+        kind = work.WorkKind.JOB if is_job else work.WorkKind.REQUEST
+        count = count if is_job else 1
+        work_id = self.harness.new_id()
+        self.submits[work_id] = (count, kind, repeatable)
+        self.askers[work_id].add(conftest.ENTRY)
+        self.harness.submit(
+            count,
+            work_id=work_id,
+            kind=kind,
+            repeatable=repeatable,
+            budget_s=budget_s,
+        )
+
+    @stateful.precondition(lambda self: self.submits)
+    @stateful.rule(pick=PICK)
+    def resubmit(self, pick):
+        """Submit a known id again through another entry."""
+        work_id = list(self.submits)[pick % len(self.submits)]
+        if conftest.OTHER_ENTRY in self.askers[work_id]:
+            return
+        self.askers[work_id].add(conftest.OTHER_ENTRY)
+        count, kind, repeatable = self.submits[work_id]
+        self.harness.submit(
+            count,
+            work_id=work_id,
+            kind=kind,
+            repeatable=repeatable,
+            sender=conftest.OTHER_ENTRY,
+        )
+
+    @stateful.precondition(lambda self: self.submits)
+    @stateful.rule(pick=PICK)
+    def cancel(self, pick):
+        """Cancel a known id."""
+        work_id = list(self.submits)[pick % len(self.submits)]
+        self.send(conftest.ENTRY, work.Cancel(work_id=work_id))
+
+    @stateful.precondition(lambda self: self.harness.mail)
+    @stateful.rule(pick=PICK)
+    def deliver(self, pick):
+        """Deliver one message to a keeper, in any order."""
+        mail = self.harness.mail
+        self.receive(mail.pop(pick % len(mail)))
+
+    def receive(self, send):
+        """Let a keeper take one message."""
+        keeper = self.harness.keepers.get(send.to)
+        if keeper is None:
+            return
+        message = send.message
+        if isinstance(message, tasks.StartTasks):
+            before = set(keeper.running)
+            refusal = keeper.take(message)
+            for key in keeper.running:
+                if key not in before:
+                    self.ran[(key.work_id, key.index)] += 1
+            if refusal is not None:
+                self.inbox.append((keeper.node, refusal))
+        elif isinstance(message, tasks.StopTasks):
+            error = conftest.failure(
+                Outcome.FAILED_WHILE_RUNNING, errors.Code.CANCELED
+            )
+            for key in message.keys:
+                if key in keeper.running:
+                    ended = keeper.end(key, error=error)
+                    self.inbox.append((keeper.node, ended))
+                elif key not in keeper.done:
+                    keeper.tombstones.add(key)
+        else:
+            self.inbox.append((keeper.node, keeper.answer(message)))
+
+    @stateful.precondition(lambda self: self.harness.mail)
+    @stateful.rule(pick=PICK)
+    def lose_mail(self, pick):
+        """Lose a message to a keeper without notice."""
+        mail = self.harness.mail
+        mail.pop(pick % len(mail))
+
+    @stateful.precondition(lambda self: self.harness.mail)
+    @stateful.rule(pick=PICK)
+    def fail_to_send(self, pick):
+        """Report that a message was not written."""
+        mail = self.harness.mail
+        send = mail.pop(pick % len(mail))
+        harness = self.harness
+        harness.run(
+            harness.coordinator.on_send_failed(
+                send.to, send.message, harness.now
+            )
+        )
+
+    @stateful.precondition(lambda self: self.harness.running())
+    @stateful.rule(
+        pick=PICK,
+        outcome=strategies.sampled_from([None, None, None, *Outcome]),
+    )
+    def end_task(self, pick, outcome):
+        """End a running task, with success or with a failure."""
+        running = [
+            (keeper, key)
+            for keeper in self.harness.keepers.values()
+            for key in keeper.running
+        ]
+        keeper, key = running[pick % len(running)]
+        error = None
+        if outcome is not None:
+            error = conftest.failure(outcome)
+        if outcome == Outcome.NOT_RUN:
+            self.ran[(key.work_id, key.index)] -= 1
+        self.inbox.append((keeper.node, keeper.end(key, error=error)))
+
+    @stateful.precondition(lambda self: self.inbox)
+    @stateful.rule(pick=PICK, keep=strategies.booleans())
+    def hear(self, pick, keep):
+        """Deliver a message of a keeper, perhaps not for the last time."""
+        place = pick % len(self.inbox)
+        sender, message = self.inbox[place]
+        if not keep:
+            del self.inbox[place]
+        self.send(sender, message)
+
+    @stateful.precondition(lambda self: self.inbox)
+    @stateful.rule(pick=PICK)
+    def lose_reply(self, pick):
+        """Lose a message of a keeper; results stay at the keeper."""
+        del self.inbox[pick % len(self.inbox)]
+
+    @stateful.rule(pick=PICK)
+    def lose_link(self, pick):
+        """Report the loss of a link."""
+        nodes = list(self.harness.keepers)
+        node = nodes[pick % len(nodes)]
+        harness = self.harness
+        harness.run(harness.coordinator.on_link_lost(node, harness.now))
+
+    @stateful.rule(pick=PICK)
+    def replace_keeper(self, pick):
+        """Replace a keeper by a new incarnation that knows nothing."""
+        harness = self.harness
+        nodes = list(harness.keepers)
+        keeper = harness.keepers.pop(nodes[pick % len(nodes)])
+        node = dataclasses.replace(
+            keeper.node, incarnation=keeper.node.incarnation + 1
+        )
+        harness.add_keeper(dataclasses.replace(keeper.member, node=node))
+        harness.announce()
+
+    @stateful.rule(pick=PICK)
+    def suspect_keeper(self, pick):
+        """Mark a keeper suspect in the view."""
+        nodes = list(self.harness.keepers)
+        self.harness.announce(suspects=(nodes[pick % len(nodes)].name,))
+
+    @stateful.rule(seconds=strategies.sampled_from([0.1, 0.5, 3.0]))
+    def wait(self, seconds):
+        """Let time pass."""
+        self.harness.advance(seconds)
+
+    @stateful.invariant()
+    def no_second_run(self):
+        """No task that must not be repeated is started twice."""
+        for (work_id, index), count in self.ran.items():
+            if not self.submits[work_id][2]:
+                assert count <= 1, f"{work_id}/{index} started {count} times"
+
+    @stateful.invariant()
+    def answers_are_whole(self):
+        """Answers are whole, equal for all, and one for each requester."""
+        seen = {}
+        for _, answer in self.harness.answers:
+            stored = seen.setdefault(answer.work_id, answer)
+            assert stored == answer
+            count = self.submits[answer.work_id][0]
+            if answer.state == work.WorkState.COMPLETE:
+                assert answer.error is None
+                payloads = [each.payload for each in answer.outputs]
+                wanted = [f'"{index}"' for index in range(count)]
+                assert payloads == wanted
+            else:
+                assert answer.outputs == ()
+                assert answer.error is not None
+        receivers = [
+            (answer.work_id, to) for to, answer in self.harness.answers
+        ]
+        assert len(set(receivers)) == len(receivers)
+
+    @stateful.invariant()
+    def not_run_means_not_run(self):
+        """Nothing that was answered as not run has run or will run."""
+        for _, answer in self.harness.answers:
+            if answer.error is None:
+                continue
+            if answer.error.outcome == Outcome.NOT_RUN:
+                for index in range(self.submits[answer.work_id][0]):
+                    assert self.ran[(answer.work_id, index)] <= 0
+
+    @stateful.invariant()
+    def accounts_agree(self):
+        """Counts of queues, quotas and rooms match what they count."""
+        dispatcher = self.harness.coordinator.dispatcher
+        waiting = collections.Counter()
+        for run in dispatcher.runs.values():
+            for task in run.tasks:
+                waiting[run.pool] += task.waiting
+        for pool in dispatcher.pools.values():
+            assert pool.waiting() == waiting[pool]
+        in_flight = sum(len(run.tasks) for run in dispatcher.runs.values())
+        use = self.harness.coordinator.admission.use.values()
+        assert sum(each.in_flight for each in use) == in_flight
+        for keeper in dispatcher.keepers.values():
+            for attempt in keeper.outstanding.values():
+                assert dispatcher.attempts[attempt.key] is attempt
+            pending = [0.0] * 4
+            for attempt in keeper.unreflected.values():
+                for place, amount in enumerate(attempt.task.amounts):
+                    pending[place] += amount
+            assert pending == keeper.pending
+
+    def teardown(self):
+        """With the faults over, everything is answered in time."""
+        self.harness.advance(61.0, step_s=0.5)
+        for work_id, askers in self.askers.items():
+            for asker in askers:
+                assert self.harness.answer(work_id, asker) is not None
+        self.answers_are_whole()
+        self.not_run_means_not_run()
+        assert not self.harness.coordinator.has_work()
+
+
+def test_coordinator_fuzz(request):
+    """Guards against faults that combine to break an invariant."""
+    examples = request.config.getoption("--fuzz-examples", default=None)
+    stateful.run_state_machine_as_test(
+        CoordinatorMachine,
+        settings=settings(
+            max_examples=examples or DEFAULT_EXAMPLES,
+            stateful_step_count=STEPS,
+            derandomize=True,
+            database=None,
+            deadline=None,
+        ),
+    )
