--- a/src/_jasminewind/api/submissions.py
+++ b/src/_jasminewind/api/submissions.py
@@ -79,6 +79,8 @@
         """
         if not client_id:
             return error
+        # Callers may write an id in capitals; owners know its usual form.
+        client_id = ids.parse(client_id).unwrap_or(client_id)
         status = await self.look(client_id, REFUSAL_QUERY_LIMIT_S)
         if isinstance(status, result.Ok):
             known = status.ok_value.state is not work.WorkState.UNKNOWN
--- a/testing/api/test_submit.py
+++ b/testing/api/test_submit.py
@@ -250,11 +250,13 @@
 
     The team was removed between the submission and its resubmission.
     """
-    job["id"] = api.new_id()
+    work_id = api.new_id()
+    job["id"] = work_id.upper()
     api.backend.configuration = configuration.Configuration(version=8)
-    api.backend.status = known(state, job["id"], may_have_run=may_have_run)
+    api.backend.status = known(state, work_id, may_have_run=may_have_run)
     response = api.call(SUBMIT, job).response
     assert response.failure.outcome == outcome
+    assert api.backend.queried == [work_id]
 
 
 def test_refusal_does_not_wait_for_a_silent_owner(api, job):
