Keep searching for the owner of long work after an early redirect

A redirect or a failed write started the 15 s search for an owner, and nothing ended it when the copy arrived. A job whose link broke a minute later was answered as unavailable at once. A copy that stands for 2 s now ends the search. The new test fails without the change and passes with it.

--- a/src/_jasminewind/decisions/relay.py
+++ b/src/_jasminewind/decisions/relay.py
@@ -22,6 +22,8 @@
 # it within another second; 15 s leaves time for a slow table.
 OWNER_SEARCH_S = 15.0
 RESEND_PERIOD_S = 0.5
+# A copy that neither failed nor was redirected for this long has arrived.
+ARRIVED_AFTER_S = 2.0
 QUESTION_TIMEOUT_S = 5.0
 NEW_ID_ATTEMPTS = 8
 SKEW_LIMIT_MS = 60_000
@@ -49,6 +51,7 @@
     replacements: int = 0
     canceled: bool = False
     must_resend: bool = False
+    sent_s: float = 0.0
     retry_s: float | None = None
     lost_since_s: float | None = None
 
@@ -64,6 +67,11 @@
         else:
             self.sent_to.pop(node, None)
 
+    def note_arrival(self, now_s: float) -> None:
+        """Forget an earlier search for the owner once it was found."""
+        if not self.must_resend and now_s - self.sent_s >= ARRIVED_AFTER_S:
+            self.lost_since_s = None
+
     def never_ran(self) -> bool:
         """Tell whether nobody can know the id, let alone have run it."""
         return self.entry_made and not self.sent_to
@@ -274,6 +282,7 @@
         """Plan to send again what the link may not have delivered."""
         for work_id in self.by_target.get(peer, set()):
             pending = self.pending[work_id]
+            pending.note_arrival(now.mono_s)
             pending.must_resend = True
             if pending.retry_s is None:
                 self._retry_at(pending, now.mono_s + self._pause_s())
@@ -367,6 +376,7 @@
         self._set_target(pending, node)
         pending.note_sent(node)
         pending.must_resend = False
+        pending.sent_s = now.mono_s
         submit = dataclasses.replace(
             pending.submit,
             budget_s=max(0.0, pending.deadline_s - now.mono_s),
@@ -423,6 +433,7 @@
             for work_id in work_ids:
                 pending = self.pending[work_id]
                 if pending.retry_s is None:
+                    pending.note_arrival(now.mono_s)
                     self._retry_at(pending, now.mono_s)
 
     # Answers
--- a/testing/decisions/test_relay.py
+++ b/testing/decisions/test_relay.py
@@ -223,6 +223,20 @@
     assert count == 1 + relay.MAX_REDIRECTS
 
 
+def test_early_redirect_does_not_shorten_a_later_search() -> None:
+    """Guards against a long job given up at its first lost link."""
+    entry = Entry()
+    work_id, _ = entry.submit(1)
+    redirect = work.Redirect(
+        work_id=work_id, owner=OTHER.node, address=OTHER.address
+    )
+    entry.relay.on_message(OWNER.node, redirect, instant(0))
+    entry.announce(fleets.shard_row(0, OTHER, epoch=2, floor_ms=WALL_MS - 1))
+    entry.relay.on_link_lost(OTHER.node, instant(20))
+    again = sends(entry.relay.on_tick(instant(21)))
+    assert [s.to for s in again] == [OTHER.node]
+
+
 def test_quota_is_split_over_entries_and_refused_as_not_run() -> None:
     """Guards against a team that gets its quota once per entry."""
     entry = Entry(max_in_flight=4)
