--- a/src/_jasminewind/decisions/keeper.py
+++ b/src/_jasminewind/decisions/keeper.py
@@ -716,7 +716,8 @@
 
     def free(self) -> tuple[resources.Resources, resources.Resources]:
         """Return what is free for any work and for long work."""
-        if self.unavailable():
+        expected = len(self.running) + len(self.queue)
+        if self.unavailable() or self.results.is_full(expected):
             return resources.NOTHING, resources.NOTHING
         waiting = resources.NOTHING
         for item in self.queue:
--- a/src/_jasminewind/platform/workers.py
+++ b/src/_jasminewind/platform/workers.py
@@ -135,10 +135,10 @@
             case result.Err(error):
                 return result.Err(attach_error(error))
             case result.Ok(attached):
-                self.instance = attached.instance
-                self.sequence = attached.sequence
+                # A repeated attach keeps its place in the events, so that
+                # ends which arrived in between are not skipped.
+                self.accept_instance(attached)
         self.is_attached = True
-        self.answered_s = self.reactor.seconds()
         for key in attached.running:
             self.leases.setdefault(
                 key, Lease(started_s=self.answered_s, is_confirmed=True)
--- a/src/_jasminewind/standins/server.py
+++ b/src/_jasminewind/standins/server.py
@@ -190,7 +190,7 @@
         self, request: server.Request, path: str, body: bytes
     ) -> None:
         """Answer a request of the service."""
-        force = self.faults if self.faults.concerns(path) else faults.Faults()
+        force = self.faults_of(path)
         channel = request.channel
         if force.delay_s > 0:
             await task.deferLater(self.reactor, force.delay_s)
@@ -205,6 +205,8 @@
             finish(request, await self.fail(path, body, request))
             return
         reply = await self.handle(path, body, request)
+        # A long poll that began before the fault loses its answer too.
+        force = self.faults_of(path)
         if force.drop_answer:
             if not force.freeze:
                 abort(channel)
@@ -213,6 +215,12 @@
             return
         finish(request, reply)
 
+    def faults_of(self, path: str) -> faults.Faults:
+        """Return the faults in force for calls of ``path``."""
+        if self.faults.concerns(path):
+            return self.faults
+        return faults.Faults()
+
     async def handle(
         self, path: str, body: bytes, request: server.Request
     ) -> Reply:
--- a/testing/platform/test_workers.py
+++ b/testing/platform/test_workers.py
@@ -160,6 +160,40 @@
     assert sorted(end.key for end in ends.ends) == [b.key for b in batch]
 
 
+def test_repeated_attach_skips_no_event(standin, worker, ends):
+    """Guards against an end that is lost when a keeper attaches again."""
+    set_faults(standin, drop_answer=True, paths=(protocol.EVENTS_PATH,))
+    item = starts.task_start(1)
+    start_all(worker, item)
+    reactor.run(reactor.until, lambda: standin.events)
+    again = reactor.run(worker.attach, ends.on_end, ends.on_usage)
+    assert again.unwrap() == ()
+    set_faults(standin)
+    assert ends.wait(1)[item.key].error is None
+
+
+def test_restarted_worker_ends_its_tasks_as_unknown(standin, worker, ends):
+    """Guards against tasks that wait for a worker that lost its state."""
+    item = starts.task_start(1, run_s=50.0)
+    start_all(worker, item)
+    reactor.run(reactor.until, standin.is_busy)
+
+    def restart():
+        standin.instance = "worker-1@restarted"
+        standin.generation = 0
+        standin.holder = ""
+        standin.runs.clear()
+        standin.wake()
+
+    reactor.run(restart)
+    end = ends.wait(1)[item.key]
+    assert end.error.failure is errors.EndpointFailure.UNKNOWN
+    later = starts.task_start(2)
+    reactor.run(reactor.until, lambda: standin.holder)
+    start_all(worker, later)
+    assert ends.wait(2)[later.key].error is None
+
+
 def test_stale_generation_is_refused(standin, worker, ends):
     """Guards against two keepers that both start work on one worker."""
     second = new_client(standin, incarnation=2)
