Make the fuzz test start and end more tasks, and save refreshes

Change: rules act on several messages, faults that end much work come less often, and settling leaves the refresh to its caller.

--- a/src/_jasminewind/decisions/dispatcher.py
+++ b/src/_jasminewind/decisions/dispatcher.py
@@ -776,14 +776,24 @@
 
     # Ends of attempts
 
-    def resolve(self, attempt: runs.Attempt, now: core.Instant) -> None:
-        """Forget an attempt whose fate is known."""
+    def resolve(
+        self,
+        attempt: runs.Attempt,
+        now: core.Instant,
+        *,
+        refresh: bool = True,
+    ) -> None:
+        """Forget an attempt whose fate is known.
+
+        A caller that refreshes the keeper later passes ``refresh=False``.
+        """
         del self.attempts[attempt.key]
         attempt.keeper.remove(attempt)
         attempt.task.live.remove(attempt)
         attempt.task.run.pool.outstanding -= 1
-        # A keeper that is gone is not open: it is not in its pool any more.
-        attempt.keeper.pool.refresh(attempt.keeper, now.mono_s)
+        if refresh:
+            # A keeper that is gone stays closed, because it is not present.
+            attempt.keeper.pool.refresh(attempt.keeper, now.mono_s)
 
     def settle(
         self,
@@ -791,10 +801,10 @@
         task_result: tasks.TaskResult,
         now: core.Instant,
     ) -> None:
-        """Take the end of an attempt."""
+        """Take the end of an attempt; the caller refreshes the keeper."""
         keeper = attempt.keeper
         keeper.reflect_through(attempt)
-        self.resolve(attempt, now)
+        self.resolve(attempt, now, refresh=False)
         if task_result.used is not None:
             self.learn_use(attempt.task, task_result.used)
         if task_result.error is None:
--- a/src/_jasminewind/decisions/placement.py
+++ b/src/_jasminewind/decisions/placement.py
@@ -79,7 +79,7 @@
 
 def worker_demand(declared: resources.Resources) -> resources.Resources:
     """Return what a task takes on a worker, which has no slots."""
-    if declared.slots == 0.0 and declared != resources.NOTHING:
+    if declared.slots == 0.0 and declared.cores > 0.0:
         return declared
     demand = dataclasses.replace(declared, slots=0.0)
     if demand == resources.NOTHING:
--- a/src/_jasminewind/decisions/runtimes.py
+++ b/src/_jasminewind/decisions/runtimes.py
@@ -32,6 +32,7 @@
         self.current = self.new_window()
         self.previous: histogram.HdrHistogram | None = None
         self.window_start_s: float | None = None
+        self.window_samples = 0
         self.samples = 0
         self.since_refresh = 0
         self.median_s = 0.0
@@ -48,6 +49,7 @@
         value_ms = min(max(int(run_s * 1000.0), 1), MAX_RUN_MS)
         self.current.record_value(value_ms)
         self.samples += 1
+        self.window_samples += 1
         self.since_refresh += 1
         if self.since_refresh >= self.samples * REFRESH_SHARE:
             self.refresh()
@@ -57,12 +59,12 @@
         if self.window_start_s is None:
             self.window_start_s = now_s
         age_s = now_s - self.window_start_s
-        count = self.current.get_total_count()
-        if count < WINDOW_SAMPLES and age_s < WINDOW_S:
+        if self.window_samples < WINDOW_SAMPLES and age_s < WINDOW_S:
             return
         self.previous = self.current if age_s < 2 * WINDOW_S else None
         self.current = self.new_window()
         self.window_start_s = now_s
+        self.window_samples = 0
         self.refresh()
 
     def refresh(self) -> None:
--- a/testing/decisions/test_coordinator_fuzz.py
+++ b/testing/decisions/test_coordinator_fuzz.py
@@ -17,9 +17,19 @@
 from _jasminewind.messages import work
 from testing.decisions import conftest
 
-DEFAULT_EXAMPLES = 40
+DEFAULT_EXAMPLES = 80
 STEPS = 50
 PICK = strategies.integers(min_value=0, max_value=10_000)
+# Faults that end much work at once come less often than other steps.
+SELDOM = strategies.integers(min_value=0, max_value=5)
+# Several picks per step, so that most examples see tasks start and end.
+PICKS = strategies.lists(PICK, min_size=1, max_size=8)
+SHAPES = strategies.tuples(
+    strategies.integers(min_value=1, max_value=6),
+    strategies.booleans(),
+    strategies.booleans(),
+    strategies.sampled_from([0.5, 3.0, 60.0, 60.0]),
+)
 Outcome = errors.Outcome
 
 
@@ -41,33 +51,27 @@
         """Give a message to the coordinator."""
         self.harness.give(sender, message)
 
-    @strategies.composite
-    @staticmethod
-    def shapes(draw):
-        """Return the shape of a submission."""
-        return (
-            draw(strategies.integers(min_value=1, max_value=6)),
-            draw(strategies.booleans()),
-            draw(strategies.booleans()),
-            draw(strategies.sampled_from([0.5, 3.0, 60.0])),
-        )
+    @stateful.initialize(shapes=strategies.lists(SHAPES, min_size=2))
+    def submit_first(self, shapes):
+        """Begin with work."""
+        self.submit(shapes)
 
-    @stateful.rule(shape=shapes())
-    def submit(self, shape):
-        """Submit a new job or request."""
-        count, is_job, repeatable, budget_s = shape
-        kind = work.WorkKind.JOB if is_job else work.WorkKind.REQUEST
-        count = count if is_job else 1
-        work_id = self.harness.new_id()
-        self.submits[work_id] = (count, kind, repeatable)
-        self.askers[work_id].add(conftest.ENTRY)
-        self.harness.submit(
-            count,
-            work_id=work_id,
-            kind=kind,
-            repeatable=repeatable,
-            budget_s=budget_s,
-        )
+    @stateful.rule(shapes=strategies.lists(SHAPES, min_size=1, max_size=4))
+    def submit(self, shapes):
+        """Submit new jobs or requests."""
+        for count, is_job, repeatable, budget_s in shapes:
+            kind = work.WorkKind.JOB if is_job else work.WorkKind.REQUEST
+            count = count if is_job else 1
+            work_id = self.harness.new_id()
+            self.submits[work_id] = (count, kind, repeatable)
+            self.askers[work_id].add(conftest.ENTRY)
+            self.harness.submit(
+                count,
+                work_id=work_id,
+                kind=kind,
+                repeatable=repeatable,
+                budget_s=budget_s,
+            )
 
     @stateful.precondition(lambda self: self.submits)
     @stateful.rule(pick=PICK)
@@ -87,18 +91,21 @@
         )
 
     @stateful.precondition(lambda self: self.submits)
-    @stateful.rule(pick=PICK)
-    def cancel(self, pick):
+    @stateful.rule(pick=PICK, chance=SELDOM)
+    def cancel(self, pick, chance):
         """Cancel a known id."""
+        if chance < 3:
+            return
         work_id = list(self.submits)[pick % len(self.submits)]
         self.send(conftest.ENTRY, work.Cancel(work_id=work_id))
 
-    @stateful.precondition(lambda self: self.harness.mail)
-    @stateful.rule(pick=PICK)
-    def deliver(self, pick):
-        """Deliver one message to a keeper, in any order."""
+    @stateful.rule(picks=PICKS)
+    def deliver(self, picks):
+        """Deliver messages to keepers, in any order."""
         mail = self.harness.mail
-        self.receive(mail.pop(pick % len(mail)))
+        for pick in picks:
+            if mail:
+                self.receive(mail.pop(pick % len(mail)))
 
     def receive(self, send):
         """Let a keeper take one message."""
@@ -127,61 +134,72 @@
         else:
             self.inbox.append((keeper.node, keeper.answer(message)))
 
-    @stateful.precondition(lambda self: self.harness.mail)
-    @stateful.rule(pick=PICK)
-    def lose_mail(self, pick):
-        """Lose a message to a keeper without notice."""
-        mail = self.harness.mail
-        mail.pop(pick % len(mail))
-
-    @stateful.precondition(lambda self: self.harness.mail)
-    @stateful.rule(pick=PICK)
-    def fail_to_send(self, pick):
-        """Report that a message was not written."""
-        mail = self.harness.mail
-        send = mail.pop(pick % len(mail))
-        harness = self.harness
-        harness.run(
-            harness.coordinator.on_send_failed(
-                send.to, send.message, harness.now
-            )
-        )
-
-    @stateful.precondition(lambda self: self.harness.running())
     @stateful.rule(
-        pick=PICK,
+        picks=PICKS,
         outcome=strategies.sampled_from([None, None, None, *Outcome]),
     )
-    def end_task(self, pick, outcome):
-        """End a running task, with success or with a failure."""
-        running = [
-            (keeper, key)
-            for keeper in self.harness.keepers.values()
-            for key in keeper.running
-        ]
-        keeper, key = running[pick % len(running)]
-        error = None
-        if outcome is not None:
-            error = conftest.failure(outcome)
-        if outcome == Outcome.NOT_RUN:
-            self.ran[(key.work_id, key.index)] -= 1
-        self.inbox.append((keeper.node, keeper.end(key, error=error)))
+    def end(self, picks, outcome):
+        """End running tasks, with success or with a failure."""
+        self.end_tasks(picks, outcome)
 
-    @stateful.precondition(lambda self: self.inbox)
-    @stateful.rule(pick=PICK, keep=strategies.booleans())
-    def hear(self, pick, keep):
-        """Deliver a message of a keeper, perhaps not for the last time."""
-        place = pick % len(self.inbox)
-        sender, message = self.inbox[place]
-        if not keep:
-            del self.inbox[place]
-        self.send(sender, message)
+    def end_tasks(self, picks, outcome):
+        """End the picked tasks."""
+        error = conftest.failure(outcome) if outcome is not None else None
+        for pick in picks:
+            running = [
+                (keeper, key)
+                for keeper in self.harness.keepers.values()
+                for key in keeper.running
+            ]
+            if not running:
+                return
+            keeper, key = running[pick % len(running)]
+            if outcome == Outcome.NOT_RUN:
+                self.ran[(key.work_id, key.index)] -= 1
+            self.inbox.append((keeper.node, keeper.end(key, error=error)))
 
-    @stateful.precondition(lambda self: self.inbox)
-    @stateful.rule(pick=PICK)
-    def lose_reply(self, pick):
-        """Lose a message of a keeper; results stay at the keeper."""
-        del self.inbox[pick % len(self.inbox)]
+    @stateful.rule(picks=PICKS, keep=strategies.booleans())
+    def hear(self, picks, keep):
+        """Deliver messages of keepers, perhaps not for the last time."""
+        for pick in picks:
+            if not self.inbox:
+                return
+            place = pick % len(self.inbox)
+            sender, message = self.inbox[place]
+            if not keep:
+                del self.inbox[place]
+            self.send(sender, message)
+
+    @stateful.rule(stages=strategies.integers(min_value=1, max_value=4))
+    def progress(self, stages):
+        """Let everything on its way arrive, for one or more stages."""
+        for stage in range(stages):
+            if stage % 2 == 0:
+                mail, self.harness.mail = self.harness.mail, []
+                for send in mail:
+                    self.receive(send)
+            else:
+                self.end_tasks([0] * 8, None)
+            inbox, self.inbox = self.inbox, []
+            for sender, message in inbox:
+                self.send(sender, message)
+
+    @stateful.rule(
+        picks=PICKS, fault=strategies.sampled_from(["mail", "inbox", "send"])
+    )
+    def lose_messages(self, picks, fault):
+        """Lose messages, or report that one was not written."""
+        harness = self.harness
+        lossy = self.inbox if fault == "inbox" else harness.mail
+        if not lossy:
+            return
+        lost = lossy.pop(picks[0] % len(lossy))
+        if fault == "send":
+            harness.run(
+                harness.coordinator.on_send_failed(
+                    lost.to, lost.message, harness.now
+                )
+            )
 
     @stateful.rule(pick=PICK)
     def lose_link(self, pick):
@@ -191,9 +209,11 @@
         harness = self.harness
         harness.run(harness.coordinator.on_link_lost(node, harness.now))
 
-    @stateful.rule(pick=PICK)
-    def replace_keeper(self, pick):
+    @stateful.rule(pick=PICK, chance=SELDOM)
+    def replace_keeper(self, pick, chance):
         """Replace a keeper by a new incarnation that knows nothing."""
+        if chance < 3:
+            return
         harness = self.harness
         nodes = list(harness.keepers)
         keeper = harness.keepers.pop(nodes[pick % len(nodes)])
@@ -203,11 +223,12 @@
         harness.add_keeper(dataclasses.replace(keeper.member, node=node))
         harness.announce()
 
-    @stateful.rule(pick=PICK)
-    def suspect_keeper(self, pick):
-        """Mark a keeper suspect in the view."""
+    @stateful.rule(pick=PICK, chance=SELDOM)
+    def suspect_keeper(self, pick, chance):
+        """Mark a keeper suspect in the view, or none."""
         nodes = list(self.harness.keepers)
-        self.harness.announce(suspects=(nodes[pick % len(nodes)].name,))
+        suspects = (nodes[pick % len(nodes)].name,) if chance == 5 else ()
+        self.harness.announce(suspects=suspects)
 
     @stateful.rule(seconds=strategies.sampled_from([0.1, 0.5, 3.0]))
     def wait(self, seconds):
