--- a/src/_jasminewind/decisions/dispatcher.py
+++ b/src/_jasminewind/decisions/dispatcher.py
@@ -454,7 +454,8 @@
         for keeper in pool.open:
             examined += 1
             if not pool.binds_early and not (
-                keeper.fits(task.amounts, is_long) or keeper.may_probe()
+                keeper.fits(task.amounts, is_long)
+                or (not is_long and keeper.may_probe())
             ):
                 misfits.append(keeper)
             elif task.avoid and keeper.node.name in task.avoid:
--- a/testing/decisions/test_dispatcher.py
+++ b/testing/decisions/test_dispatcher.py
@@ -305,6 +305,29 @@
     assert started.issuperset(short)
 
 
+def test_full_keeper_gets_one_short_start_and_no_long_one(make_harness):
+    """Guards against long work in reserved slots, and against starvation.
+
+    Another coordinator holds every slot; its queue at the keeper is empty.
+    """
+    harness = make_harness(minions=1, slots=4)
+    keeper = next(iter(harness.keepers.values()))
+    load = dataclasses.replace(
+        keeper.load(), free=resources.NOTHING, free_long=resources.NOTHING
+    )
+    report = tasks.LoadReport(keeper=keeper.node, load=load)
+    harness.give(keeper.node, report)
+    harness.submit(method="cut_list", expected_s=60.0)
+    assert not harness.mail
+    ids_sent = [harness.submit() for _ in range(3)]
+    starts = [
+        start.key.work_id
+        for send in harness.mail
+        for start in send.message.starts
+    ]
+    assert starts == ids_sent[:1]
+
+
 def test_running_work_that_passes_the_limit_becomes_long(harness):
     """Guards against wrong declarations that hide long work."""
     harness.submit(expected_s=0.1)
