--- a/src/_jasminewind/api/configs.py
+++ b/src/_jasminewind/api/configs.py
@@ -7,6 +7,7 @@
 from _jasminewind import changes
 from _jasminewind import configuration
 from _jasminewind import errors
+from _jasminewind import ids
 from _jasminewind.api import backend as backends
 from _jasminewind.api import calls
 from _jasminewind.api import connect
@@ -32,7 +33,8 @@
 
     def new_change_id(self) -> str:
         """Return an id for a change that came without one."""
-        return self.shared.new_id()
+        wall_ms = self.backend.now().wall_ms
+        return ids.new(wall_ms=wall_ms, rng=self.shared.rng)
 
     async def catch_up(self, version: int) -> configuration.Configuration:
         """Return the configuration, waiting until it has ``version``."""
--- a/testing/api/conftest.py
+++ b/testing/api/conftest.py
@@ -48,6 +48,7 @@
 
     def __init__(self, clock):
         self.clock = clock
+        self.rng = random.Random(7)
         self.configuration = CONFIG
         self.readiness = backends.Readiness(ready=True)
         self.view = ()
@@ -62,8 +63,7 @@
         self.explained = ()
 
     def new_id(self):
-        rng = random.Random(len(self.submitted))
-        return ids.new(wall_ms=self.now().wall_ms, rng=rng)
+        return ids.new(wall_ms=self.now().wall_ms, rng=self.rng)
 
     def submit(self, submit):
         self.submitted.append(submit)
--- a/testing/decisions/test_ownership_fuzz.py
+++ b/testing/decisions/test_ownership_fuzz.py
@@ -142,10 +142,10 @@
                 continue
             now = self.cell.at(node)
             verdict = node.ownership.judge(work_id, now)
-            if verdict.standing == "accept":
+            if verdict.kind.value == "accept":
                 first = self.accepted.setdefault(work_id, node.node)
                 assert first == node.node, (work_id, first, node.node)
-            elif verdict.standing == "ahead":
+            elif verdict.kind.value == "ahead":
                 self.cell.run(node, node.ownership.wants(work_id, now))
 
     @stateful.invariant()
