Add a command that runs one deployment by hand

Cause: the demo runs in one process and ends by itself, so that nobody can try commands or faults against a fleet. Change: python -m _jasminewind.experiment.run DEPLOYMENT starts every process, prints the addresses and stops on Ctrl-C.

--- /dev/null
+++ b/src/_jasminewind/experiment/run.py
@@ -0,0 +1,131 @@
+"""Runs one deployment by hand, as separate processes on this machine."""
+
+import argparse
+import collections.abc
+import dataclasses
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+import types
+
+from _jasminewind import settings
+from _jasminewind.experiment import deployments
+from _jasminewind.experiment import fleets
+from _jasminewind.experiment import layout as layouts
+from _jasminewind.experiment import ports
+
+EXAMPLES = pathlib.Path(__file__).resolve().parents[3] / "examples"
+POLL_S = 0.2
+KNOWN = {found.name: found for found in deployments.DEPLOYMENTS}
+
+
+def parser() -> argparse.ArgumentParser:
+    """Return the parser of the arguments."""
+    found = argparse.ArgumentParser(
+        prog="python -m _jasminewind.experiment.run",
+        description="Run a deployment on this machine until Ctrl-C.",
+    )
+    found.add_argument("deployment", choices=sorted(KNOWN))
+    found.add_argument(
+        "--folder",
+        type=pathlib.Path,
+        help="folder for settings and logs (default: a new one)",
+    )
+    found.add_argument("--entries", type=int, help="number of entries")
+    found.add_argument("--minions", type=int, help="number of minions")
+    found.add_argument("--workers", type=int, help="number of workers")
+    return found
+
+
+def chosen_deployment(found: argparse.Namespace) -> deployments.Deployment:
+    """Return the deployment with the sizes that the arguments give."""
+    deployment = KNOWN[found.deployment]
+    return dataclasses.replace(
+        deployment,
+        entries=found.entries or deployment.entries,
+        minions=found.minions or deployment.minions,
+        workers=found.workers or deployment.workers,
+    )
+
+
+def folder_of(found: argparse.Namespace) -> pathlib.Path:
+    """Return the folder for settings and logs, which exists."""
+    if found.folder is None:
+        return pathlib.Path(tempfile.mkdtemp(prefix="jasminewind-"))
+    folder: pathlib.Path = found.folder
+    folder.mkdir(parents=True, exist_ok=True)
+    return folder
+
+
+def describe(fleet: fleets.Fleet) -> str:
+    """Return where the processes of a running fleet are reached."""
+    layout = fleet.layout
+    lines = [
+        f"export JASMINEWIND_ENTRY={layout.url()}",
+        f"settings and logs: {fleet.folder}",
+    ]
+    for entry in layout.entries:
+        lines.append(f"  {entry.name}: {entry.host}:{entry.api_port}")
+    for agent in layout.agents:
+        lines.append(f"  {agent.name}: {agent.host}:{agent.local_port}")
+    lines.append("faults of stand-ins, POST URL/v1/faults:")
+    for standin in (layout.table, *layout.minions, *layout.workers):
+        lines.append(
+            f"  {standin.name}: {layout.control_url(standin.name)}"
+        )
+    return "\n".join(lines)
+
+
+def watch(fleet: fleets.Fleet) -> None:
+    """Report each process that ends, until interrupted."""
+    ended: set[str] = set()
+    while True:
+        time.sleep(POLL_S)
+        for name, process in fleet.processes.items():
+            if name not in ended and process.poll() is not None:
+                ended.add(name)
+                print(
+                    f"{name} ended with status {process.returncode}; see "
+                    f"{fleet.folder / name}.log",
+                    flush=True,
+                )
+
+
+def interrupt(number: int, frame: types.FrameType | None) -> None:
+    """Treat a request to terminate like Ctrl-C."""
+    del number, frame
+    raise KeyboardInterrupt
+
+
+def main(arguments: collections.abc.Sequence[str] | None = None) -> int:
+    """Run a deployment and return the exit status."""
+    found = parser().parse_args(arguments)
+    deployment = chosen_deployment(found)
+    layout = layouts.build(
+        deployment,
+        config_file=EXAMPLES / deployment.name / "config.json",
+        allocator=ports.PortAllocator(),
+        log_level=settings.LogLevel.INFO,
+    )
+    fleet = fleets.Fleet(layout, folder=folder_of(found))
+    signal.signal(signal.SIGTERM, interrupt)
+    try:
+        fleet.start()
+        fleet.wait_ready()
+        print(describe(fleet), flush=True)
+        print("ready; Ctrl-C stops it", flush=True)
+        watch(fleet)
+    except KeyboardInterrupt:
+        print("stopping", flush=True)
+        return 0
+    except fleets.FleetError as e:
+        print(f"{e}; logs are in {fleet.folder}", file=sys.stderr)
+        return 1
+    finally:
+        fleet.stop()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
