Fix the return type of the fleet's watch loop

Cause: mypy reported a missing return statement in experiment/run.py. Change: watch() never returns; it ends by an interrupt.

--- a/src/_jasminewind/experiment/run.py
+++ b/src/_jasminewind/experiment/run.py
@@ -9,6 +9,7 @@
 import tempfile
 import time
 import types
+import typing
 
 from _jasminewind import settings
 from _jasminewind.experiment import deployments
@@ -72,13 +73,11 @@
         lines.append(f"  {agent.name}: {agent.host}:{agent.local_port}")
     lines.append("faults of stand-ins, POST URL/v1/faults:")
     for standin in (layout.table, *layout.minions, *layout.workers):
-        lines.append(
-            f"  {standin.name}: {layout.control_url(standin.name)}"
-        )
+        lines.append(f"  {standin.name}: {layout.control_url(standin.name)}")
     return "\n".join(lines)
 
 
-def watch(fleet: fleets.Fleet) -> None:
+def watch(fleet: fleets.Fleet) -> typing.NoReturn:
     """Report each process that ends, until interrupted."""
     ended: set[str] = set()
     while True:
