Document operation, and run the commands of the pages in a test

Cause: an operator had no page on deployment, log lines, metrics or faults, and nothing kept the commands of the pages working. Conclusion: a command that stops working fails the test run.

--- /dev/null
+++ b/testing/commands.py
@@ -0,0 +1,149 @@
+"""Command blocks of the pages, and fleets to run them against.
+
+A fenced ``sh`` block is run when the line above it is
+``<!-- run on DEPLOYMENT -->`` or ``<!-- run on DEPLOYMENT, exit N -->``.
+"""
+
+import concurrent.futures
+import dataclasses
+import os
+import pathlib
+import re
+import subprocess
+import sys
+
+from _jasminewind.experiment import deployments
+from _jasminewind.experiment import fleets
+from _jasminewind.experiment import layout as layouts
+from _jasminewind.experiment import ports
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BLOCK = re.compile(
+    r"<!-- run on (?P<deployment>[\w-]+)(?:, exit (?P<exit>\d+))? -->\n"
+    r"```sh\n(?P<text>.*?)```",
+    re.DOTALL,
+)
+PAGES = (
+    "README.md",
+    "docs/cli.md",
+    *(
+        str(path.relative_to(ROOT))
+        for path in sorted((ROOT / "docs").glob("operating*"))
+        if path.suffix == ".md"
+    ),
+    *(
+        str(path.relative_to(ROOT))
+        for path in sorted((ROOT / "docs" / "operating").glob("*.md"))
+    ),
+)
+SCRIPT = """\
+#!/bin/sh
+exec {python} -c 'from _jasminewind.cli import main; main.main()' "$@"
+"""
+# Only ends a command that hangs; no test compares times with it.
+HANG_S = 60
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Block:
+    """One command block and the exit status that its page promises."""
+
+    page: str
+    number: int
+    deployment: str
+    status: int
+    text: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Outcome:
+    """What a block did."""
+
+    status: int
+    output: str
+
+
+def find_blocks():
+    """Return the command blocks of all pages, in order."""
+    found = []
+    for page in PAGES:
+        text = (ROOT / page).read_text()
+        for number, match in enumerate(BLOCK.finditer(text), start=1):
+            block = Block(
+                page=page,
+                number=number,
+                deployment=match["deployment"],
+                status=int(match["exit"] or 0),
+                text=match["text"],
+            )
+            found.append(block)
+    return found
+
+
+def small_layout(deployment, allocator):
+    """Return the settings of a fleet that starts within seconds."""
+    return layouts.build(
+        dataclasses.replace(deployment, entries=2, minions=2, workers=2),
+        config_file=ROOT / "examples" / deployment.name / "config.json",
+        allocator=allocator,
+    )
+
+
+def run_block(block, *, url, programs):
+    """Run a block in a shell that stops at the first error."""
+    path = f"{programs}:{os.environ['PATH']}"
+    environment = {**os.environ, "PATH": path, "JASMINEWIND_ENTRY": url}
+    environment["PYTHONPATH"] = str(ROOT / "src")
+    done = subprocess.run(
+        ["bash", "-eu", "-c", block.text],
+        cwd=ROOT,
+        env=environment,
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        timeout=HANG_S,
+    )
+    return Outcome(status=done.returncode, output=done.stdout)
+
+
+def run_on_fleet(layout, blocks, folder):
+    """Run the blocks of one deployment against its fleet, in order."""
+    folder.mkdir()
+    fleet = fleets.Fleet(layout, folder=folder)
+    try:
+        fleet.start()
+        fleet.wait_ready()
+        return {
+            block: run_block(block, url=layout.url(), programs=folder.parent)
+            for block in blocks
+        }
+    finally:
+        fleet.stop()
+
+
+def run_all(folder):
+    """Run every block; return the outcomes by block.
+
+    The deployments run side by side, since most of the time is waiting.
+    """
+    program = folder / "jasminewind"
+    program.write_text(SCRIPT.format(python=sys.executable))
+    program.chmod(0o755)
+    allocator = ports.PortAllocator()
+    known = {found.name: found for found in deployments.DEPLOYMENTS}
+    blocks = find_blocks()
+    outcomes = {}
+    with concurrent.futures.ThreadPoolExecutor() as executor:
+        running = [
+            executor.submit(
+                run_on_fleet,
+                small_layout(known[name], allocator),
+                [block for block in blocks if block.deployment == name],
+                folder / name,
+            )
+            for name in sorted({block.deployment for block in blocks})
+        ]
+        for each in running:
+            outcomes.update(each.result())
+    return outcomes
--- a/testing/test_examples.py
+++ b/testing/test_examples.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from _jasminewind import settings
 from _jasminewind.api import connect
 from _jasminewind.api import initial
 from _jasminewind.api import validation
@@ -44,3 +45,25 @@
     if text:
         path.write_text(text)
     assert str(path) in initial.read(path).unwrap_err()
+
+
+@pytest.mark.parametrize(
+    "path", sorted((EXAMPLES / "settings").rglob("*.json")), ids=str
+)
+def test_example_settings_are_valid(path):
+    """Guards against settings files that a new deployment cannot use."""
+    assert settings.load(path).is_ok()
+
+
+def test_example_settings_cover_each_role_of_each_deployment():
+    """Guards against a role that an operator has no example for."""
+    found = [
+        (path.parent.name, path.name)
+        for path in sorted((EXAMPLES / "settings").rglob("*.json"))
+    ]
+    names = ["agent-minion.json", "agent-worker.json", "entry.json"]
+    assert found == [
+        (deployment, name)
+        for deployment in ("federation", "karri-creek")
+        for name in names
+    ]
