Never start a task of a job twice; check the configuration model too

Cause: a repeatable task of a job was tried again after it may have run, although no task of a submission may start twice; only a repeatable request may. make model did not run the configuration model.

Change: retries after a possible start are for requests only; make model runs spec.configuration.

Conclusion: a job with a lost task fails as may have run.

--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -3,6 +3,7 @@
 import sys
 
 from spec import check
+from spec import configuration
 from spec import ownership
 from spec import starts
 
@@ -25,6 +26,7 @@
             print(f"    {label}")
         for mutation in model.MUTATIONS:
             failed = report(check.refute(model.build(mutation))) or failed
+    configuration.main()
     return int(failed)
 
 
--- a/src/_jasminewind/decisions/dispatcher.py
+++ b/src/_jasminewind/decisions/dispatcher.py
@@ -917,7 +917,7 @@
         error: errors.WorkError,
         now: core.Instant,
     ) -> None:
-        """Retry a repeatable task within the budget, else fail its run."""
+        """Retry a repeatable request within the budget, else fail its run."""
         task = attempt.task
         run = task.run
         task.runs_used += 1
@@ -925,8 +925,10 @@
             return
         if task.live or task.waiting:
             return
+        # A task of a job never starts twice, even one that is repeatable.
         if (
-            task.task.repeatable
+            run.is_request
+            and task.task.repeatable
             and error.code not in FINAL_CODES
             and task.runs_used < retries.MAX_ATTEMPTS
             and self.budget.spend()
--- a/testing/decisions/test_dispatcher.py
+++ b/testing/decisions/test_dispatcher.py
@@ -193,6 +193,20 @@
     assert len(harness.answers) == 1
 
 
+def test_repeatable_task_of_a_job_is_not_retried(make_harness):
+    """Guards against starting a task of a job twice."""
+    harness = make_harness(workers=3)
+    work_id = harness.submit(kind=JOB, repeatable=True)
+    harness.deliver()
+    keeper, _ = holder(harness)
+    replace_keeper(harness, keeper)
+    harness.finish()
+    error = harness.answer(work_id).error
+    assert error.outcome == Outcome.MAY_HAVE_RUN
+    received = [k for each in harness.keepers.values() for k in each.received]
+    assert len(received) <= 1
+
+
 def test_absent_keeper_is_gone_only_after_a_grace_time(harness):
     """Guards against giving up tasks over a short gap in the view."""
     work_id = harness.submit()
