Bound the queue by a share of the deadline, and count its mean cost

Cause: during a fivefold step, submissions were admitted as long as the expected wait and the run time fitted their deadline. The estimate used median run times, although most waiting work belongs to few long tasks, so that work queued for seconds and was then refused late.

Change: a submission may queue for a quarter of the time until its deadline at most; queued work is counted by the learned mean.

--- a/src/_jasminewind/decisions/admission.py
+++ b/src/_jasminewind/decisions/admission.py
@@ -16,6 +16,12 @@
 TOKEN_ROUNDING = 1e-6
 # Starts that a keeper may hold beyond its slots.
 KEEPER_QUEUE = 2
+# Share of the time until its deadline that a submission may queue. More
+# waiting keeps no slot busier: it only makes every answer later, leaves no
+# room for a wrong estimate, and has to be worked off after a crest.
+QUEUE_SHARE = 0.25
+# Part of a coordinator's share of the slots that it counts on at least.
+SURE_SHARE = 0.5
 NEW_ID_ADVICE = "submit it again with a new id"
 
 
@@ -180,41 +186,51 @@
         if not self.config.policy.shed_by_deadline:
             return None
         need_s = max(runtimes.learned_s(task.times) for task in run.tasks)
-        wait_s = expected_wait_s(run, self.config.policy, left_s - need_s)
-        if wait_s + need_s <= left_s:
+        own_s = sum(runtimes.learned_s(each.times) for each in run.tasks[1:])
+        slots = max(run.pool.capacity_for(run.tasks[0].amounts), 1.0)
+        need_s += own_s / slots
+        if need_s > left_s:
+            return exhausted(
+                f"the run time of {need_s:.2f} s exceeds the {left_s:.2f} s "
+                "that are left"
+            )
+        limit_s = min(left_s - need_s, QUEUE_SHARE * left_s)
+        wait_s = expected_wait_s(run, self.config.policy, limit_s)
+        if wait_s <= limit_s:
             return None
         return exhausted(
-            f"the expected wait of {wait_s:.2f} s and the run time of "
-            f"{need_s:.2f} s exceed the {left_s:.2f} s that are left"
+            f"the expected wait of {wait_s:.2f} s exceeds the {limit_s:.2f} s "
+            f"that a submission with {left_s:.2f} s left may queue"
         )
 
 
 def expected_wait_s(
-    run: runs.Run, policy: configuration.Policy, left_s: float
+    run: runs.Run, policy: configuration.Policy, limit_s: float
 ) -> float:
-    """Return how long the last task of a run is expected to wait.
+    """Return how long the first task of a run is expected to wait.
 
     Every outstanding task works off one task second per second, so the
     number of tasks that run for this coordinator is the rate at which its
     queue shrinks. The estimate starts with bounds that cost little and
-    goes on only while they do not show that the time suffices.
+    goes on only while they do not show that the wait is short.
     """
     pool = run.pool
     is_long = any(task.is_long for task in run.tasks)
     queue = pool.queue(is_long and policy.separate_long_work)
-    own_s = sum(runtimes.learned_s(each.times) for each in run.tasks[1:])
-    queued_s = queue.cost_s if len(queue) > 0 else 0.0
+    if len(queue) == 0:
+        return 0.0
     rate = max(float(pool.outstanding), 1.0)
-    if queued_s + own_s <= left_s * rate:
-        return (queued_s + own_s) / rate
+    if queue.cost_s <= limit_s * rate:
+        return queue.cost_s / rate
     amounts = run.tasks[0].amounts
-    free = pool.free_for(amounts)
-    rate = max(rate + free, pool.capacity_for(amounts) / pool.coordinators)
-    if queued_s + own_s <= left_s * rate or len(queue) == 0:
-        return (queued_s + own_s) / rate
+    share = pool.capacity_for(amounts) / pool.coordinators
+    # A coordinator that holds few slots at the moment soon gets more of
+    # them, but seldom its whole share while all coordinators have work.
+    rate = max(rate + pool.free_for(amounts), share * SURE_SHARE)
+    if queue.cost_s <= limit_s * rate:
+        return queue.cost_s / rate
     team = run.team if policy.fair_share else ""
-    queued_s = queue.ahead_s(team, run.deadline_s)
-    return (queued_s + own_s) / rate
+    return queue.ahead_s(team, run.deadline_s) / rate
 
 
 def capacity_of(keepers: list[pools.KeeperState], run: runs.Run) -> int:
--- a/src/_jasminewind/decisions/dispatcher.py
+++ b/src/_jasminewind/decisions/dispatcher.py
@@ -267,8 +267,9 @@
                 )
             times = self.times.method(task.service, task.method)
             entry = runs.TaskRun(run, index, task, times, demand)
-            entry.cost_s = self.times.expected_s(times, task.expected_s)
-            entry.is_long = entry.cost_s > long_s
+            expected_s = self.times.expected_s(times, task.expected_s)
+            entry.cost_s = runtimes.cost_s(times, expected_s)
+            entry.is_long = expected_s > long_s
             run.tasks.append(entry)
         return run
 
--- a/src/_jasminewind/decisions/runtimes.py
+++ b/src/_jasminewind/decisions/runtimes.py
@@ -36,6 +36,7 @@
         self.samples = 0
         self.since_refresh = 0
         self.median_s = 0.0
+        self.mean_s = 0.0
         self.p99_s = 0.0
 
     @staticmethod
@@ -77,10 +78,12 @@
         self.samples = merged.get_total_count()
         if self.samples == 0:
             self.median_s = 0.0
+            self.mean_s = 0.0
             self.p99_s = 0.0
             return
         values = merged.get_percentile_to_value_dict([50.0, 99.0])
         self.median_s = values[50.0] / 1000.0
+        self.mean_s = merged.get_mean_value() / 1000.0
         self.p99_s = values[99.0] / 1000.0
 
 
@@ -111,6 +114,17 @@
         return total / (times.samples + weight)
 
 
+def cost_s(times: MethodTimes, expected_s: float) -> float:
+    """Return the seconds that one task of a queue takes on average.
+
+    The mean counts here and not the median: a few tasks that run many
+    times longer than the rest make up much of the work that waits.
+    """
+    if times.samples < MIN_SAMPLES:
+        return expected_s
+    return times.mean_s
+
+
 def learned_s(times: MethodTimes) -> float:
     """Return the learned median, or 0 when too little is known.
 
