Choose the id of a submission in one place

Cause: the checks of jobs and of requests repeated the choice of the id. Change: validation.chosen_id does it for both. Conclusion: one rule, one place.

--- a/src/_jasminewind/api/validation.py
+++ b/src/_jasminewind/api/validation.py
@@ -88,6 +88,18 @@
     return None
 
 
+def chosen_id(
+    text: str, *, wall_ms: int, new_id: NewId
+) -> result.Result[str, Refused]:
+    """Return the id of the caller, or a new one when it gave none."""
+    if not text:
+        return result.Ok(new_id())
+    error = work_id_error(text, wall_ms=wall_ms)
+    if error is not None:
+        return result.Err(Refused(error=error))
+    return result.Ok(ids.parse(text).unwrap())
+
+
 def submit_job(
     request: work_pb2.SubmitJobRequest,
     *,
@@ -98,11 +110,10 @@
     new_id: NewId,
 ) -> Checked:
     """Return the job to forward, or why it is refused."""
-    if request.id:
-        error = work_id_error(request.id, wall_ms=wall_ms)
-        if error is not None:
-            return result.Err(Refused(error=error))
-    work_id = ids.parse(request.id).unwrap() if request.id else new_id()
+    chosen = chosen_id(request.id, wall_ms=wall_ms, new_id=new_id)
+    if isinstance(chosen, result.Err):
+        return result.Err(chosen.err_value)
+    work_id = chosen.ok_value
     refused = (
         check_tasks(request.tasks, work_id)
         or check_limits(request, config, work_id)
@@ -139,11 +150,10 @@
     new_id: NewId,
 ) -> Checked:
     """Return the request to forward, or why it is refused."""
-    if request.id:
-        error = work_id_error(request.id, wall_ms=wall_ms)
-        if error is not None:
-            return result.Err(Refused(error=error))
-    work_id = ids.parse(request.id).unwrap() if request.id else new_id()
+    chosen = chosen_id(request.id, wall_ms=wall_ms, new_id=new_id)
+    if isinstance(chosen, result.Err):
+        return result.Err(chosen.err_value)
+    work_id = chosen.ok_value
     refused = (
         check_run_time("expected_s", request.expected_s, work_id)
         or check_team(request.team, config, work_id)
