Write and check generated pages in one place

Cause: the two page generators repeated their command line. Change: tools.pages writes or checks a page; both generators use it. Conclusion: a third page needs no third copy.

--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -3,14 +3,10 @@
 ``python -m tools.metrics_page --check`` exits with 1 when the page differs.
 """
 
-import argparse
-import pathlib
-import sys
-
 from _jasminewind import metrics
+from tools import pages
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-PAGE = ROOT / "docs" / "operating" / "metrics.md"
+PAGE = pages.ROOT / "docs" / "operating" / "metrics.md"
 HEAD = """\
 # Metrics
 
@@ -101,20 +97,13 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """Write or check the page; return the exit code."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--check", action="store_true")
-    options = parser.parse_args(arguments)
-    if not options.check:
-        PAGE.write_text(page())
-        return 0
-    if PAGE.exists() and PAGE.read_text() == page():
-        return 0
-    print(
-        "docs/operating/metrics.md is not current; run "
-        "`python -m tools.metrics_page`",
-        file=sys.stderr,
+    return pages.write_or_check(
+        arguments,
+        page=PAGE,
+        text=page(),
+        module="tools.metrics_page",
+        description=__doc__,
     )
-    return 1
 
 
 if __name__ == "__main__":
--- a/tools/settings_page.py
+++ b/tools/settings_page.py
@@ -4,16 +4,14 @@
 differs.
 """
 
-import argparse
 import dataclasses
 import json
-import pathlib
-import sys
 import typing
 
 from _jasminewind import settings
+from tools import pages
 
-PAGE = pathlib.Path(__file__).resolve().parent.parent / "docs/settings.md"
+PAGE = pages.ROOT / "docs" / "settings.md"
 HEAD = """\
 # Settings
 
@@ -94,19 +92,13 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """Write or check the page; return the exit code."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--check", action="store_true")
-    options = parser.parse_args(arguments)
-    if not options.check:
-        PAGE.write_text(page())
-        return 0
-    if PAGE.exists() and PAGE.read_text() == page():
-        return 0
-    print(
-        "docs/settings.md is not current; run `python -m tools.settings_page`",
-        file=sys.stderr,
+    return pages.write_or_check(
+        arguments,
+        page=PAGE,
+        text=page(),
+        module="tools.settings_page",
+        description=__doc__,
     )
-    return 1
 
 
 if __name__ == "__main__":
