Keep accepted ids in one ledger

Cause: decisions/ledger.py (bounds, floors, hand-over) was unused, and the coordinator kept records in decisions/records.py without a bound. Records there scanned every id at each expiry, and the floor was never raised, so a finished id of a held interval was kept for ever.

Expiry takes old records from the front of a queue, gives the raised floors to Ownership.raise_floor and drops an id only when ownership does not accept it any more. Refusals are stored as a shared error and have a bound of their own; an id refused because the ledger is full is remembered too, so that a later copy does not run. Without room for that the answer is "may have run". A cancelled pending id is stored the same way.

Conclusion: one ledger with the bound, the typed refusal and the floors.

--- a/src/_jasminewind/decisions/coordinator.py
+++ b/src/_jasminewind/decisions/coordinator.py
@@ -5,14 +5,15 @@
 import random
 import typing
 
+import result
+
 from _jasminewind import configuration
 from _jasminewind import errors
-from _jasminewind import ids
 from _jasminewind import members
 from _jasminewind.decisions import admission
 from _jasminewind.decisions import core
 from _jasminewind.decisions import dispatcher
-from _jasminewind.decisions import records
+from _jasminewind.decisions import ledger
 from _jasminewind.decisions import verdicts
 from _jasminewind.messages import configuration as config_messages
 from _jasminewind.messages import ownership as ownership_messages
@@ -27,8 +28,6 @@
 # Submissions that may wait for ownership or configuration at once.
 MAX_PENDING = 2_000
 EXPIRE_PERIOD_S = 10.0
-# Payload of one hand-over message in bytes, well below the frame limit.
-HAND_OVER_BYTES = 256 * 1024
 # Entries are not members of the cell; the node has a link to the sender of
 # every message and needs no address to answer on it.
 NO_ADDRESS = members.Address("", 0)
@@ -46,6 +45,9 @@
     def owned(self) -> tuple[int, ...]:
         """Return the shards that this process owns."""
 
+    def raise_floor(self, shard: int, floor_ms: int) -> None:
+        """Answer ids at or below ``floor_ms`` as forgotten."""
+
 
 class Freshness(typing.Protocol):
     """Tells whether the configuration is confirmed to be in force."""
@@ -92,7 +94,7 @@
         self.ownership = ownership
         self.freshness = freshness
         self.config = configuration.NO_CONFIGURATION
-        self.ledger = records.Ledger()
+        self.ledger = ledger.Ledger()
         self.admission = admission.Admission()
         self.dispatcher = dispatcher.Dispatcher(rng=rng)
         self.pending: dict[str, Pending] = {}
@@ -150,7 +152,11 @@
         self.dispatcher.on_tick(now)
         if now.mono_s >= self.next_expire_s:
             self.next_expire_s = now.mono_s + EXPIRE_PERIOD_S
-            self.ledger.expire(now, lambda each: self.accepts(each, now))
+            self.ledger.expire(
+                now,
+                raise_floor=self.ownership.raise_floor,
+                is_accepted=lambda each: self.accepts(each, now),
+            )
         return self.finish_round(actions, now)
 
     def on_config(
@@ -217,12 +223,8 @@
         self, sender: members.NodeId, submit: work.Submit, now: core.Instant
     ) -> core.Actions:
         """Accept a submission, join it to its record, or redirect it."""
-        record = self.ledger.find(submit.work_id)
-        if record is not None:
-            if record.answer is not None:
-                return [self.reply(sender, record.answer)]
-            self.ledger.join(submit.work_id, sender)
-            return []
+        if self.ledger.find(submit.work_id) is not None:
+            return self.join(submit, sender)
         pending = self.pending.get(submit.work_id)
         if pending is not None:
             if sender not in pending.requesters:
@@ -230,6 +232,15 @@
             return []
         return self.judge(submit, [sender], now)
 
+    def join(
+        self, submit: work.Submit, sender: members.NodeId
+    ) -> core.Actions:
+        """Answer a known id from its record, or when it has finished."""
+        # The shard plays no part for an id that has a record.
+        joined = self.ledger.accept(submit, shard=0, sender=sender).unwrap()
+        answer = joined.record.answer
+        return [] if answer is None else [self.reply(sender, answer)]
+
     def judge(
         self,
         submit: work.Submit,
@@ -240,7 +251,7 @@
         verdict = self.ownership.judge(submit.work_id, now)
         kind = verdict.kind
         if kind == verdicts.VerdictKind.ACCEPT:
-            return self.accept(submit, requesters, now)
+            return self.accept(submit, requesters, verdict.shard, now)
         if kind == verdicts.VerdictKind.AHEAD:
             actions = self.ownership.wants(submit.work_id, now)
             return actions + self.wait(submit, requesters, now, is_ahead=True)
@@ -267,6 +278,7 @@
         self,
         submit: work.Submit,
         requesters: list[members.NodeId],
+        shard: int,
         now: core.Instant,
     ) -> core.Actions:
         """Admit or refuse a submission whose id belongs here."""
@@ -276,9 +288,16 @@
             )
             actions = self.wait(submit, requesters, now, is_ahead=False)
             return [self.reply(requesters[0], fetch), *actions]
-        self.ledger.open(submit.work_id, submit, requesters[0], now)
-        for each in requesters[1:]:
-            self.ledger.join(submit.work_id, each)
+        for each in requesters:
+            accepted = self.ledger.accept(submit, shard=shard, sender=each)
+            if isinstance(accepted, result.Err):
+                return self.turn_away(
+                    submit.work_id,
+                    accepted.err_value,
+                    requesters,
+                    shard=shard,
+                    now=now,
+                )
         error = self.refuse_unready(submit, now)
         if error is not None:
             return self.refuse(submit.work_id, error, now)
@@ -297,6 +316,47 @@
         self.dispatcher.enqueue(run, now)
         return []
 
+    def turn_away(
+        self,
+        work_id: str,
+        found: ledger.LedgerError,
+        requesters: list[members.NodeId],
+        *,
+        shard: int,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Answer a submission that the ledger does not take."""
+        if found.refusal is ledger.Refusal.FORGOTTEN:
+            return self.answer_unknown(work_id, requesters, found.reason)
+        error = errors.WorkError(
+            code=errors.Code.RESOURCE_EXHAUSTED,
+            outcome=errors.Outcome.NOT_RUN,
+            reason=found.reason,
+        )
+        return self.refuse_new(
+            work_id, error, requesters, shard=shard, now=now
+        )
+
+    def refuse_new(
+        self,
+        work_id: str,
+        error: errors.WorkError,
+        requesters: list[members.NodeId],
+        *,
+        shard: int,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Refuse an id without a record and remember the refusal."""
+        if not self.ledger.refuse(work_id, error, shard=shard, now=now):
+            reason = "too many refusals are remembered here; try again later"
+            return self.answer_unknown(work_id, requesters, reason)
+        answer = work.Answer(
+            work_id=work_id, state=work.WorkState.FAILED, error=error
+        )
+        actions: core.Actions = [refusal_log(work_id, error)]
+        actions.extend(self.reply(each, answer) for each in requesters)
+        return actions
+
     def refuse_unready(
         self, submit: work.Submit, now: core.Instant
     ) -> errors.WorkError | None:
@@ -320,13 +380,7 @@
         answer = work.Answer(
             work_id=work_id, state=work.WorkState.FAILED, error=error
         )
-        log = core.LogDecision(
-            kind="refusal",
-            work_id=work_id,
-            choice=str(error.code),
-            reason=error.reason,
-        )
-        return [log, *self.give(answer, now)]
+        return [refusal_log(work_id, error), *self.give(answer, now)]
 
     def answer_unknown(
         self,
@@ -419,17 +473,18 @@
         if pending is None:
             self.dispatcher.cancel(message.work_id, now)
             return []
-        self.ledger.open(
-            message.work_id, pending.submit, pending.requesters[0], now
-        )
-        for each in pending.requesters[1:]:
-            self.ledger.join(message.work_id, each)
         error = errors.WorkError(
             code=errors.Code.CANCELED,
             outcome=errors.Outcome.NOT_RUN,
             reason="the caller cancelled it",
         )
-        return self.refuse(message.work_id, error, now)
+        return self.refuse_new(
+            message.work_id,
+            error,
+            pending.requesters,
+            shard=self.ownership.judge(message.work_id, now).shard,
+            now=now,
+        )
 
     def on_query(
         self,
@@ -445,8 +500,9 @@
         total = 0
         done = 0
         answer = None
-        if record is not None and record.answer is not None:
+        if record is not None and record.is_finished():
             answer = record.answer
+            assert answer is not None
             state = answer.state
             total = done = len(answer.outputs)
         elif run is not None:
@@ -524,60 +580,17 @@
         now: core.Instant,
     ) -> core.Actions:
         """Store the finished records of an owner that leaves."""
-        for answer in message.answers:
-            if self.ledger.find(answer.work_id) is None:
-                self.ledger.finish(answer, now)
-        ack = ownership_messages.HandOverAck(
-            shard=message.shard, epoch=message.epoch
-        )
-        return [self.reply(sender, ack)]
-
-    def hand_over(
-        self,
-        *,
-        shard: int,
-        epoch: int,
-        to: members.NodeId,
-        address: members.Address,
-    ) -> core.Actions:
-        """Send the finished records of a shard to its new owner."""
-        actions: core.Actions = []
-        batch: list[work.Answer] = []
-        size = 0
-        shard_count = self.config.shard_count
-        for answer in self.ledger.answers():
-            if ids.shard_of(answer.work_id, shard_count=shard_count) != shard:
-                continue
-            batch.append(answer)
-            size += answer_bytes(answer)
-            if size >= HAND_OVER_BYTES:
-                actions.append(hand_over(shard, epoch, batch, to, address))
-                batch = []
-                size = 0
-        if batch or not actions:
-            actions.append(hand_over(shard, epoch, batch, to, address))
-        return actions
-
-
-def answer_bytes(answer: work.Answer) -> int:
-    """Return about how many bytes an answer takes in a message."""
-    overhead = 256
-    outputs = sum(len(each.payload) + overhead for each in answer.outputs)
-    return overhead + outputs
+        return [self.reply(sender, self.ledger.receive(message, now))]
 
 
-def hand_over(
-    shard: int,
-    epoch: int,
-    batch: list[work.Answer],
-    to: members.NodeId,
-    address: members.Address,
-) -> core.Action:
-    """Return the action that sends one batch of records."""
-    message = ownership_messages.HandOver(
-        shard=shard, epoch=epoch, answers=tuple(batch)
+def refusal_log(work_id: str, error: errors.WorkError) -> core.LogDecision:
+    """Return the decision log entry of a refusal."""
+    return core.LogDecision(
+        kind="refusal",
+        work_id=work_id,
+        choice=str(error.code),
+        reason=error.reason,
     )
-    return core.Send(to=to, address=address, message=message)
 
 
 def unavailable(reason: str) -> errors.WorkError:
--- a/src/_jasminewind/decisions/ledger.py
+++ b/src/_jasminewind/decisions/ledger.py
@@ -7,11 +7,13 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 import enum
 
 import result
 
+from _jasminewind import errors
 from _jasminewind import ids
 from _jasminewind import members
 from _jasminewind.decisions import core
@@ -20,6 +22,11 @@
 
 RETENTION_S = 10 * 60.0
 DEFAULT_MAX_RECORDS = 200_000
+# Refusals have a bound of their own, so that a burst of refused work does
+# not take the place of work that runs.
+DEFAULT_MAX_REFUSALS = 200_000
+# Refusals with the same reason share one object.
+MAX_SHARED_ERRORS = 1_024
 
 
 class Refusal(enum.StrEnum):
@@ -42,23 +49,37 @@
     reason: str
 
 
-@dataclasses.dataclass(kw_only=True)
+@dataclasses.dataclass(kw_only=True, slots=True)
 class Record:
     """One accepted id. ``submit`` is ``None`` for a received record.
 
-    ``waiting`` are the processes that want the answer.
+    ``waiting`` are the processes that want the answer. ``end`` is the
+    answer; of failed work only the error is kept, which many records
+    share. ``is_refusal`` tells whether the record counts as a refusal.
     """
 
     work_id: str
     shard: int
     submit: work.Submit | None = None
-    answer: work.Answer | None = None
+    end: work.Answer | errors.WorkError | None = None
     ended_s: float | None = None
-    waiting: set[members.NodeId] = dataclasses.field(default_factory=set)
+    waiting: tuple[members.NodeId, ...] = ()
+    is_refusal: bool = False
+
+    @property
+    def answer(self) -> work.Answer | None:
+        """Return the one answer, ``None`` while the work goes on."""
+        if isinstance(self.end, errors.WorkError):
+            return work.Answer(
+                work_id=self.work_id,
+                state=work.WorkState.FAILED,
+                error=self.end,
+            )
+        return self.end
 
     def is_finished(self) -> bool:
         """Tell whether the one answer exists."""
-        return self.answer is not None
+        return self.end is not None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -70,13 +91,25 @@
 
 
 class Ledger:
-    """Records of accepted ids, at most ``max_records`` of them."""
+    """Records of accepted ids, at most ``max_records`` of them.
+
+    Records of refused work take little memory and are bounded apart, by
+    ``max_refusals``.
+    """
 
-    def __init__(self, *, max_records: int = DEFAULT_MAX_RECORDS) -> None:
+    def __init__(
+        self,
+        *,
+        max_records: int = DEFAULT_MAX_RECORDS,
+        max_refusals: int = DEFAULT_MAX_REFUSALS,
+    ) -> None:
         self.max_records = max_records
+        self.max_refusals = max_refusals
         self.records: dict[str, Record] = {}
+        self.refusal_count = 0
         self.finished: collections.deque[Record] = collections.deque()
         self.floors: dict[int, int] = {}
+        self.shared_errors: dict[errors.WorkError, errors.WorkError] = {}
 
     def __len__(self) -> int:
         return len(self.records)
@@ -89,6 +122,10 @@
         """Return the id time up to which records may be forgotten."""
         return self.floors.get(shard, 0)
 
+    def is_full(self) -> bool:
+        """Tell whether no further work can be accepted."""
+        return len(self.records) - self.refusal_count >= self.max_records
+
     def accept(
         self,
         submit: work.Submit,
@@ -103,8 +140,8 @@
         """
         known = self.records.get(submit.work_id)
         if known is not None:
-            if not known.is_finished():
-                known.waiting.add(sender)
+            if not known.is_finished() and sender not in known.waiting:
+                known.waiting = (*known.waiting, sender)
             return result.Ok(Admission(record=known, is_new=False))
         if ids.time_ms(submit.work_id) <= self.floor_ms(shard):
             return result.Err(
@@ -116,21 +153,47 @@
                     ),
                 )
             )
-        if len(self.records) >= self.max_records:
+        if self.is_full():
             return result.Err(
                 LedgerError(
                     refusal=Refusal.FULL,
                     reason=(
                         f"{self.max_records} submissions are remembered "
-                        "already; it was not run. Submit it again later"
+                        "already; it was not run. Submit the work again "
+                        "later under a new id"
                     ),
                 )
             )
-        record = Record(work_id=submit.work_id, shard=shard, submit=submit)
-        record.waiting.add(sender)
+        record = Record(
+            work_id=submit.work_id,
+            shard=shard,
+            submit=submit,
+            waiting=(sender,),
+        )
         self.records[submit.work_id] = record
         return result.Ok(Admission(record=record, is_new=True))
 
+    def refuse(
+        self,
+        work_id: str,
+        error: errors.WorkError,
+        *,
+        shard: int,
+        now: core.Instant,
+    ) -> bool:
+        """Remember that an id without a record is refused as not run.
+
+        Returns false when there is no room. The id could then still be
+        accepted by a copy of the submission that arrives later, so the
+        refusal must not say that it was not run.
+        """
+        if work_id in self.records or self.refusal_count >= self.max_refusals:
+            return False
+        record = Record(work_id=work_id, shard=shard)
+        self.records[work_id] = record
+        self._end(record, error, now)
+        return True
+
     def finish(
         self, answer: work.Answer, now: core.Instant
     ) -> tuple[members.NodeId, ...]:
@@ -142,13 +205,32 @@
         record = self.records.get(answer.work_id)
         if record is None or record.is_finished():
             return ()
-        record.answer = answer
+        waiting = tuple(sorted(record.waiting))
+        self._end(record, answer.error or answer, now)
+        return waiting
+
+    def _end(
+        self,
+        record: Record,
+        end: work.Answer | errors.WorkError,
+        now: core.Instant,
+    ) -> None:
+        if isinstance(end, errors.WorkError):
+            end = self._shared(end)
+            is_refusal = end.outcome is errors.Outcome.NOT_RUN
+            if is_refusal and self.refusal_count < self.max_refusals:
+                record.is_refusal = True
+                self.refusal_count += 1
+        record.end = end
         record.ended_s = now.mono_s
         record.submit = None
+        record.waiting = ()
         self.finished.append(record)
-        waiting = tuple(sorted(record.waiting))
-        record.waiting.clear()
-        return waiting
+
+    def _shared(self, error: errors.WorkError) -> errors.WorkError:
+        if len(self.shared_errors) >= MAX_SHARED_ERRORS:
+            self.shared_errors.clear()
+        return self.shared_errors.setdefault(error, error)
 
     def receive(
         self, hand_over: messages.HandOver, now: core.Instant
@@ -162,16 +244,11 @@
         for answer in hand_over.answers:
             if answer.work_id in self.records:
                 continue
-            if len(self.records) >= self.max_records:
+            if self.is_full():
                 break
-            record = Record(
-                work_id=answer.work_id,
-                shard=hand_over.shard,
-                answer=answer,
-                ended_s=now.mono_s,
-            )
+            record = Record(work_id=answer.work_id, shard=hand_over.shard)
             self.records[answer.work_id] = record
-            self.finished.append(record)
+            self._end(record, answer.error or answer, now)
         return messages.HandOverAck(
             shard=hand_over.shard,
             epoch=hand_over.epoch,
@@ -182,18 +259,44 @@
         """Return the finished answers, oldest first, for a hand-over."""
         return tuple(r.answer for r in self.finished if r.answer is not None)
 
-    def expire(self, now: core.Instant) -> tuple[int, ...]:
-        """Drop old records; return the shards whose floor rose."""
+    def expire(
+        self,
+        now: core.Instant,
+        *,
+        raise_floor: collections.abc.Callable[[int, int], None],
+        is_accepted: collections.abc.Callable[[str], bool],
+    ) -> tuple[int, ...]:
+        """Drop old records; return the shards whose floor rose.
+
+        Each floor is given to ``raise_floor`` before any record is
+        dropped. An id that is still accepted afterwards is kept for
+        another ``RETENTION_S``: a forgotten id that is accepted would
+        start a second time.
+        """
+        old = self._take_old(now)
         risen: set[int] = set()
-        while self.finished:
-            record = self.finished[0]
-            ended_s = record.ended_s
-            if ended_s is None or now.mono_s - ended_s < RETENTION_S:
-                break
-            self.finished.popleft()
-            del self.records[record.work_id]
+        for record in old:
             time_ms = ids.time_ms(record.work_id)
             if time_ms > self.floor_ms(record.shard):
                 self.floors[record.shard] = time_ms
                 risen.add(record.shard)
+        for shard in sorted(risen):
+            raise_floor(shard, self.floors[shard])
+        for record in old:
+            if is_accepted(record.work_id):
+                record.ended_s = now.mono_s
+                self.finished.append(record)
+                continue
+            del self.records[record.work_id]
+            self.refusal_count -= record.is_refusal
         return tuple(sorted(risen))
+
+    def _take_old(self, now: core.Instant) -> list[Record]:
+        """Remove finished records from the queue that are old enough."""
+        old: list[Record] = []
+        while self.finished:
+            ended_s = self.finished[0].ended_s
+            if ended_s is None or now.mono_s - ended_s < RETENTION_S:
+                break
+            old.append(self.finished.popleft())
+        return old
--- a/testing/decisions/conftest.py
+++ b/testing/decisions/conftest.py
@@ -31,12 +31,20 @@
         self.kind = verdicts.VerdictKind.ACCEPT
         self.interval = None
         self.wanted = []
+        self.floor_ms = 0
 
     def judge(self, work_id, now):
-        """Return the verdict that the test has set."""
-        del work_id, now
+        """Return the verdict that the test has set, or a forgotten id."""
+        del now
+        if ids.time_ms(work_id) <= self.floor_ms:
+            return verdicts.Verdict(kind=verdicts.VerdictKind.EARLIER)
         return verdicts.Verdict(kind=self.kind, interval=self.interval)
 
+    def raise_floor(self, shard, floor_ms):
+        """Judge ids up to ``floor_ms`` as forgotten."""
+        del shard
+        self.floor_ms = max(self.floor_ms, floor_ms)
+
     def wants(self, work_id, now):
         """Note the id that was ahead."""
         del now
--- a/testing/decisions/test_coordinator.py
+++ b/testing/decisions/test_coordinator.py
@@ -223,3 +223,30 @@
     harness.give(keeper.node, keeper.results(key))
     assert harness.sent[-1].message == tasks.ResultsAck(keys=(key,))
     assert harness.sent[-1].to == keeper.node
+
+
+def test_forgotten_id_is_answered_and_not_started(harness):
+    """Guards against a second run of an id whose record has expired."""
+    work_id = harness.submit()
+    harness.finish()
+    harness.advance(700.0, step_s=10.0)
+    assert harness.coordinator.status().records == 0
+    harness.submit(work_id=work_id, sender=conftest.OTHER_ENTRY)
+    answer = harness.answer(work_id, conftest.OTHER_ENTRY)
+    assert answer.error.outcome == Outcome.MAY_HAVE_RUN
+    assert not harness.mail
+
+
+def test_full_ledger_refuses_and_remembers_it(harness):
+    """Guards against running an id that was refused as not run."""
+    harness.coordinator.ledger.max_records = 1
+    harness.submit()
+    refused = harness.submit()
+    assert harness.answer(refused).error.outcome == Outcome.NOT_RUN
+    harness.coordinator.ledger.max_records = 2
+    harness.submit(work_id=refused, sender=conftest.OTHER_ENTRY)
+    stored = harness.answer(refused, conftest.OTHER_ENTRY)
+    assert stored == harness.answer(refused)
+    harness.finish()
+    received = [each.received for each in harness.keepers.values()]
+    assert sum(len(keys) for keys in received) == 1
--- a/testing/decisions/test_ledger.py
+++ b/testing/decisions/test_ledger.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from _jasminewind import errors
 from _jasminewind import members
 from _jasminewind.decisions import core
 from _jasminewind.decisions import ledger
@@ -30,6 +31,31 @@
     return work.Answer(work_id=work_id, state=work.WorkState.COMPLETE)
 
 
+def not_run():
+    """Return a refusal."""
+    return errors.WorkError(
+        code=errors.Code.RESOURCE_EXHAUSTED,
+        outcome=errors.Outcome.NOT_RUN,
+        reason="the queue is full",
+    )
+
+
+class Floors:
+    """Ownership that notes the floors, and may still accept ids."""
+
+    def __init__(self, *, accepts=False):
+        self.accepts = accepts
+        self.raised = {}
+
+    def expire(self, book, now_s):
+        """Expire the records of ``book``."""
+        return book.expire(
+            core.Instant(now_s, 0),
+            raise_floor=self.raised.__setitem__,
+            is_accepted=lambda work_id: self.accepts,
+        )
+
+
 @pytest.fixture
 def book():
     """Return a ledger that holds two records."""
@@ -51,8 +77,11 @@
     """Guards against a second run after the record was dropped."""
     book.accept(submit(), shard=0, sender=ENTRY).unwrap()
     book.finish(complete(submit().work_id), core.Instant(1.0, 0))
-    assert book.expire(core.Instant(600.9, 0)) == ()
-    assert book.expire(core.Instant(601.0, 0)) == (0,)
+    floors = Floors()
+    assert floors.expire(book, 600.9) == ()
+    assert floors.expire(book, 601.0) == (0,)
+    assert floors.raised == {0: fakes.START_MS}
+    assert book.find(submit().work_id) is None
     error = book.accept(submit(), shard=0, sender=ENTRY).unwrap_err()
     assert error.refusal is ledger.Refusal.FORGOTTEN
 
@@ -75,3 +104,36 @@
     ack = book.receive(message, core.Instant(1.0, 0))
     assert (ack.epoch, ack.sequence) == (3, 7)
     assert book.find(answer.work_id).answer == answer
+
+
+def test_id_that_is_still_accepted_is_not_forgotten(book):
+    """Guards against a second start when the floor cannot be raised."""
+    book.accept(submit(), shard=0, sender=ENTRY).unwrap()
+    book.finish(complete(submit().work_id), core.Instant(1.0, 0))
+    Floors(accepts=True).expire(book, 601.0)
+    assert not book.accept(submit(), shard=0, sender=ENTRY).unwrap().is_new
+    Floors().expire(book, 1201.0)
+    assert len(book) == 0
+
+
+def test_refusals_do_not_take_the_room_of_work(book):
+    """Guards against a burst of refusals that stops accepted work."""
+    now = core.Instant(1.0, 0)
+    for seed in range(5):
+        work_id = submit(seed).work_id
+        assert book.refuse(work_id, not_run(), shard=0, now=now)
+    again = book.accept(submit(4), shard=0, sender=ENTRY).unwrap()
+    assert again.record.answer.error == not_run()
+    assert book.accept(submit(6), shard=0, sender=ENTRY).unwrap().is_new
+    found = {id(r.end) for r in book.finished}
+    assert len(found) == 1, "equal refusals must share one error"
+
+
+def test_refusal_beyond_the_bound_is_reported():
+    """Guards against NOT_RUN for an id whose refusal is not remembered."""
+    book = ledger.Ledger(max_refusals=1)
+    now = core.Instant(1.0, 0)
+    assert book.refuse(submit(1).work_id, not_run(), shard=0, now=now)
+    assert not book.refuse(submit(2).work_id, not_run(), shard=0, now=now)
+    Floors().expire(book, 601.0)
+    assert book.refuse(submit(2).work_id, not_run(), shard=0, now=now)
