Hand finished answers to the new owner before an agent exits

Entries asked only the earlier owner of an id, so a handed-over answer would never have been found once that owner had exited.

A leaving agent closes its coordinator once it has given every shard away and has no running work, hands the answers over in batches of at most 256 KiB of encoded JSON and exits when all are acknowledged. The next batch follows an acknowledgement at once; without any member that could become the owner the batches are dropped. An id that is new at the closed owner is answered "may have run". Submit.join_only lets an entry ask the current owner for a record when the earlier owner is gone; that owner joins, answers, or says "may have run", and never starts the id.

--- a/src/_jasminewind/decisions/coordinator.py
+++ b/src/_jasminewind/decisions/coordinator.py
@@ -100,6 +100,7 @@
         self.pending: dict[str, Pending] = {}
         self.addresses: dict[members.NodeId, members.Address] = {}
         self.next_expire_s = 0.0
+        self.is_closed = False
         self.handlers: dict[
             type,
             collections.abc.Callable[
@@ -124,6 +125,16 @@
         """Tell whether a submission is still without its answer."""
         return bool(self.dispatcher.runs or self.pending)
 
+    def close(self) -> tuple[work.Answer, ...]:
+        """Accept no further id; return the answers to hand over.
+
+        Call this when :meth:`has_work` is false. An id that is new here
+        is answered "may have run" from now on, because the process may
+        exit before the work would end.
+        """
+        self.is_closed = True
+        return self.ledger.answers()
+
     def status(self) -> CoordinatorStatus:
         """Return counts for metrics and operators."""
         pools = self.dispatcher.pools.values()
@@ -229,6 +240,8 @@
         if pending is not None:
             if sender not in pending.requesters:
                 pending.requesters.append(sender)
+            if pending.submit.join_only:
+                pending.submit = submit
             return []
         return self.judge(submit, [sender], now)
 
@@ -250,12 +263,37 @@
         """Act on what ownership says about a submission."""
         verdict = self.ownership.judge(submit.work_id, now)
         kind = verdict.kind
+        is_here = kind in (
+            verdicts.VerdictKind.ACCEPT,
+            verdicts.VerdictKind.AHEAD,
+        )
+        if is_here and self.is_closed:
+            reason = "the owner of this id is shutting down"
+            return self.answer_unknown(submit.work_id, requesters, reason)
+        if kind == verdicts.VerdictKind.ACCEPT and submit.join_only:
+            error = unavailable("nothing with this id has arrived before")
+            return self.refuse_new(
+                submit.work_id,
+                error,
+                requesters,
+                shard=verdict.shard,
+                now=now,
+            )
         if kind == verdicts.VerdictKind.ACCEPT:
             return self.accept(submit, requesters, verdict.shard, now)
         if kind == verdicts.VerdictKind.AHEAD:
             actions = self.ownership.wants(submit.work_id, now)
             return actions + self.wait(submit, requesters, now, is_ahead=True)
         interval = verdict.interval
+        if (
+            submit.join_only
+            and kind == verdicts.VerdictKind.EARLIER
+            and interval is not None
+            and interval.owner not in self.addresses
+        ):
+            # The entry asks here because the earlier owner is gone, and
+            # it has not handed over a record of this id.
+            interval = None
         if interval is not None and interval.owner != self.member.node:
             redirect = work.Redirect(
                 work_id=submit.work_id,
--- a/src/_jasminewind/decisions/departures.py
+++ b/src/_jasminewind/decisions/departures.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import msgspec
+
 from _jasminewind import members
 from _jasminewind import shards
 from _jasminewind.decisions import core
@@ -16,8 +18,11 @@
 # member of the cell may claim the shard.
 ASK_TIMES = 5
 MOVE_EVERY_S = 10.0
-# Keeps a hand-over below the frame size of 1 MiB with JSON escapes.
+# Encoded answers of one hand-over message, well below the frame limit of
+# 1 MiB, so that heartbeats are not held up behind it.
 CHUNK_BYTES = 256 * 1024
+# An answer alone may be larger than a chunk, but not than a frame.
+MAX_ANSWER_BYTES = 1000 * 1024
 HAND_OVER_EVERY_S = 1.0
 HAND_OVER_TRIES = 20
 
@@ -65,13 +70,13 @@
         self.wanted.clear()
         return self.on_tick(now)
 
+    def has_given_shards(self) -> bool:
+        """Tell whether this process leaves and owns no shard any more."""
+        return self.leaving and not self.owned.current
+
     def has_left(self) -> bool:
         """Tell whether nothing is left to give away."""
-        return (
-            self.leaving
-            and not self.owned.current
-            and not any(self.parcels.values())
-        )
+        return self.has_given_shards() and not any(self.parcels.values())
 
     def on_tick(self, now: core.Instant) -> core.Actions:
         """Go on with every departure and every hand-over."""
@@ -192,9 +197,9 @@
         chunk: list[work.Answer] = []
         size = 0
         for answer in answers:
-            weight = 200 + sum(
-                len(o.payload) + len(o.name) + 100 for o in answer.outputs
-            )
+            weight = len(msgspec.json.encode(answer))
+            if weight > MAX_ANSWER_BYTES:
+                continue
             if chunk and size + weight > CHUNK_BYTES:
                 queue.append(self.parcel(epoch, chunk))
                 chunk, size = [], 0
@@ -213,6 +218,9 @@
     def send_parcel(self, shard: int, now: core.Instant) -> core.Actions:
         """Send the first parcel of a shard until it is acknowledged."""
         queue = self.parcels[shard]
+        if not any(rows.may_coordinate(m) for m in self.cell.view):
+            # Nobody is left who could become the owner.
+            queue.clear()
         if not queue:
             return []
         parcel = queue[0]
@@ -243,11 +251,15 @@
             )
         ]
 
-    def on_ack(self, ack: messages.HandOverAck) -> None:
-        """Drop the parcel that the new owner has stored."""
+    def on_ack(
+        self, ack: messages.HandOverAck, now: core.Instant
+    ) -> core.Actions:
+        """Drop the parcel that the new owner has stored; send the next."""
         queue = self.parcels.get(ack.shard, [])
-        if queue and queue[0].sequence == ack.sequence:
-            queue.pop(0)
+        if not queue or queue[0].sequence != ack.sequence:
+            return []
+        queue.pop(0)
+        return self.send_parcel(ack.shard, now)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/_jasminewind/decisions/directory.py
+++ b/src/_jasminewind/decisions/directory.py
@@ -108,6 +108,17 @@
             return row.current
         return next((i for i in row.earlier if i.covers(time_ms)), None)
 
+    def heir_of(self, work_id: str) -> shards.Interval | None:
+        """Return the current interval of a shard, for an id below it.
+
+        Its owner cannot start the id, but may have the record that the
+        earlier owner handed over when it left.
+        """
+        row = self.rows.get(self.shard_of(work_id))
+        if row is None or ids.time_ms(work_id) > row.current.floor_ms:
+            return None
+        return row.current
+
     def shard_for_new(self, now: core.Instant) -> int | None:
         """Return a shard whose owner lives and has the least to do.
 
--- a/src/_jasminewind/decisions/ownership.py
+++ b/src/_jasminewind/decisions/ownership.py
@@ -160,6 +160,10 @@
         self.claims.leaving = True
         return self.departures.begin_leave(now)
 
+    def has_given_shards(self) -> bool:
+        """Tell whether every shard was given away."""
+        return self.departures.has_given_shards() and not self.claims.writes
+
     def has_left(self) -> bool:
         """Tell whether every shard and every record was given away."""
         return self.departures.has_left() and not self.claims.writes
@@ -272,7 +276,7 @@
             case messages.TakeOverRequest():
                 return self.claims.on_asked(message, sender)
             case messages.HandOverAck():
-                self.departures.on_ack(message)
+                return self.departures.on_ack(message, now)
         return []
 
     def on_promise_request(
--- a/src/_jasminewind/decisions/relay.py
+++ b/src/_jasminewind/decisions/relay.py
@@ -9,6 +9,7 @@
 from _jasminewind import errors
 from _jasminewind import ids
 from _jasminewind import members
+from _jasminewind import shards
 from _jasminewind.decisions import core
 from _jasminewind.decisions import directory as directories
 from _jasminewind.decisions import quotas
@@ -37,6 +38,8 @@
     been written to its link. ``target`` is the one that is being asked
     now, if any; ``must_resend`` says that it may not have got its copy.
     ``lost_since_s`` is when the owner could no longer be asked.
+    ``asks_heir`` says that the earlier owner of the id is gone and the
+    current one is asked for the record that was handed over.
     """
 
     submit: work.Submit
@@ -54,6 +57,7 @@
     sent_s: float = 0.0
     retry_s: float | None = None
     lost_since_s: float | None = None
+    asks_heir: bool = False
 
     def note_sent(self, node: members.NodeId) -> None:
         """Count a copy that may reach ``node``."""
@@ -326,7 +330,7 @@
 
     def _try_send(self, pending: Pending, now: core.Instant) -> core.Actions:
         """Send to the owner of the id's interval, or wait for one."""
-        owner = self.directory.owner_of(pending.submit.work_id)
+        owner = self._holder(pending)
         if owner is not None and self.directory.is_alive(owner.owner):
             waits = pending.target == owner.owner
             if waits and not pending.must_resend:
@@ -349,6 +353,21 @@
         self._retry_at(pending, now.mono_s + RESEND_PERIOD_S)
         return []
 
+    def _holder(self, pending: Pending) -> shards.Interval | None:
+        """Return the interval whose owner can know the id."""
+        work_id = pending.submit.work_id
+        owner = self.directory.owner_of(work_id)
+        pending.asks_heir = False
+        if pending.never_ran():
+            return owner
+        if owner is not None and self.directory.member_at(owner.owner):
+            return owner
+        heir = self.directory.heir_of(work_id)
+        if heir is None or not self.directory.is_alive(heir.owner):
+            return owner
+        pending.asks_heir = True
+        return heir
+
     def _must_ask(self, pending: Pending, node: members.NodeId) -> bool:
         """Tell whether to send a copy to ``node`` now.
 
@@ -381,6 +400,7 @@
             pending.submit,
             budget_s=max(0.0, pending.deadline_s - now.mono_s),
             config_version=self.config.version,
+            join_only=pending.asks_heir,
         )
         actions: core.Actions = [
             core.Send(to=node, address=address, message=submit)
--- a/src/_jasminewind/messages/work.py
+++ b/src/_jasminewind/messages/work.py
@@ -47,7 +47,10 @@
 class Submit:
     """An entry forwards a job or a request to the owner of its shard.
 
-    ``budget_s`` is the time left until the caller's deadline.
+    ``budget_s`` is the time left until the caller's deadline. With
+    ``join_only`` the owner starts nothing: it joins the record of the id
+    or answers what it knows. An id that it could still accept is refused
+    as not run, and the refusal is remembered.
     """
 
     work_id: str
@@ -56,6 +59,7 @@
     tasks: tuple[Task, ...]
     budget_s: float
     config_version: int
+    join_only: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/_jasminewind/nodes/agent.py
+++ b/src/_jasminewind/nodes/agent.py
@@ -77,6 +77,7 @@
         self.endpoint = endpoint.EndpointTask(node=self, keeper=self.keeper)
         self.shared_view: tuple[members.Member, ...] = ()
         self.is_leaving = False
+        self.is_handing_over = False
         self.handlers[core.StartOnEndpoint] = self.endpoint.start
         self.handlers[core.OrderOnEndpoint] = self.endpoint.order
         for decision in (
@@ -138,6 +139,7 @@
         return (
             self.keeper.is_idle()
             and not self.coordinator.has_work()
+            and self.is_handing_over
             and self.ownership.has_left()
         )
 
@@ -187,11 +189,24 @@
             config_version=self.config_sync.current().version,
         )
         self.perform(self.membership, self.membership.update_self(record, now))
+        self.hand_over(now)
         view = self.membership.view()
         if view != self.shared_view:
             self.shared_view = view
             self.share_view(view)
 
+    def hand_over(self, now: core.Instant) -> None:
+        """Give the finished answers to the new owners, once work ended."""
+        if not self.is_leaving or self.is_handing_over:
+            return
+        if self.coordinator.has_work():
+            return
+        if not self.ownership.has_given_shards():
+            return
+        self.is_handing_over = True
+        answers = self.coordinator.close()
+        self.perform(self.ownership, self.ownership.hand_over(answers, now))
+
     def changed_load(self) -> members.Load:
         """Return the announced load, or a new one if it has changed.
 
--- a/testing/decisions/conftest.py
+++ b/testing/decisions/conftest.py
@@ -290,6 +290,7 @@
         team="red",
         budget_s=30.0,
         sender=ENTRY,
+        join_only=False,
         **task_fields,
     ):
         """Submit work and return its id."""
@@ -307,6 +308,7 @@
             ),
             budget_s=budget_s,
             config_version=1,
+            join_only=join_only,
         )
         self.give(sender, message)
         return work_id
--- a/testing/decisions/test_coordinator.py
+++ b/testing/decisions/test_coordinator.py
@@ -250,3 +250,37 @@
     harness.finish()
     received = [each.received for each in harness.keepers.values()]
     assert sum(len(keys) for keys in received) == 1
+
+
+def test_join_only_joins_running_work(harness):
+    """Guards against NOT_RUN for a resubmission of running work."""
+    work_id = harness.submit()
+    harness.submit(
+        work_id=work_id, sender=conftest.OTHER_ENTRY, join_only=True
+    )
+    harness.finish()
+    answer = harness.answer(work_id, conftest.OTHER_ENTRY)
+    assert answer == harness.answer(work_id)
+
+
+def test_join_only_of_a_new_id_is_refused_for_ever(harness):
+    """Guards against a late copy that runs after NOT_RUN was answered."""
+    work_id = harness.submit(join_only=True)
+    assert harness.answer(work_id).error.outcome == Outcome.NOT_RUN
+    harness.submit(work_id=work_id, sender=conftest.OTHER_ENTRY)
+    answer = harness.answer(work_id, conftest.OTHER_ENTRY)
+    assert answer == harness.answer(work_id)
+    assert not harness.mail
+
+
+def test_join_only_does_not_hold_back_pending_work(harness):
+    """Guards against refusing a submission for a question about it."""
+    harness.ownership.kind = verdicts.VerdictKind.AHEAD
+    work_id = harness.submit(join_only=True)
+    harness.submit(work_id=work_id, sender=conftest.OTHER_ENTRY)
+    harness.ownership.kind = verdicts.VerdictKind.ACCEPT
+    harness.advance(0.1)
+    harness.finish()
+    answer = harness.answer(work_id, conftest.OTHER_ENTRY)
+    assert answer.state == work.WorkState.COMPLETE
+    assert answer == harness.answer(work_id)
--- a/testing/decisions/test_relay.py
+++ b/testing/decisions/test_relay.py
@@ -319,3 +319,37 @@
     assert isinstance(end, core.Deliver)
     assert isinstance(end.message, work.WorkStatus)
     assert (end.ticket, end.message.state) == (7, work.WorkState.UNKNOWN)
+
+
+def handed_over(entry: Entry) -> None:
+    """Let ``OTHER`` own the shard above every id, with one earlier owner."""
+    earlier = fleets.shard_row(0, OWNER, ceiling_ms=WALL_MS + 1).current
+    row = fleets.shard_row(
+        0, OTHER, epoch=2, floor_ms=WALL_MS + 1, earlier=(earlier,)
+    )
+    entry.announce(row)
+
+
+def test_heir_is_asked_for_a_record_when_the_owner_has_left() -> None:
+    """Guards against handed-over answers that nobody asks for."""
+    entry = Entry()
+    work_id, _ = entry.submit(1)
+    handed_over(entry)
+    entry.report(1.0, OTHER)
+    entry.relay.on_link_lost(OWNER.node, instant(1))
+    (again,) = sends(entry.relay.on_tick(instant(2)))
+    assert isinstance(again.message, work.Submit)
+    assert (again.to, again.message.join_only) == (OTHER.node, True)
+    answer = complete(work_id)
+    done = entry.relay.on_message(OTHER.node, answer, instant(3))
+    assert answers(done) == [(1, answer)]
+
+
+def test_owner_that_is_still_there_is_asked_itself() -> None:
+    """Guards against "may have run" while the owner has the record."""
+    entry = Entry()
+    handed_over(entry)
+    _, actions = entry.submit(1)
+    (sent,) = sends(actions)
+    assert isinstance(sent.message, work.Submit)
+    assert (sent.to, sent.message.join_only) == (OWNER.node, False)
