Wire agents and entries; never say "not run" of a caller's id unasked

Cause: the agent did not tell ownership of the entries or membership of its own shard rows, the setting endpoint_lease_s was unused, and the entry did not pass its freshness to the relay. The shard-to-cell rule was written out in neighbours.py. The relay refused a caller's id above the quota as not run, although the id may have run through another entry. Links.stop failed on a connection that was still being opened.

Change: the agent fills ownership.entries from membership.contacts and gives its announced rows to membership; an endpoint that is silent for endpoint_lease_s takes the agent out of the serving state and makes its keeper refuse starts. cells.cell_of and cells.cell_of_shard are the only rules. The entry sets the relay's freshness at each refresh. A refused id that the caller chose is sent to its owner with join_only: the owner joins, answers what it knows, or refuses it as not run and remembers that. When no owner can be asked, the refusal says "may have run". WorkStatus.may_have_run is set by an owner whose interval does not cover the id, and by the relay when nobody answers. Links.stop leaves an unopened connection to close when it becomes ready.

Conclusion: the parts agree on cells, entries, freshness and leases.

--- a/src/_jasminewind/decisions/cells.py
+++ b/src/_jasminewind/decisions/cells.py
@@ -17,6 +17,11 @@
     return xxhash.xxh64_intdigest(name.encode()) % max(1, cell_count)
 
 
+def cell_of_shard(shard: int, *, cell_count: int) -> int:
+    """Return the cell whose agents own ``shard``."""
+    return shard % max(1, cell_count)
+
+
 def reporters(
     cell: int, view: collections.abc.Iterable[members.Member]
 ) -> tuple[members.Member, ...]:
--- a/src/_jasminewind/decisions/coordinator.py
+++ b/src/_jasminewind/decisions/coordinator.py
@@ -531,7 +531,6 @@
         now: core.Instant,
     ) -> core.Actions:
         """Tell the state of a submission."""
-        del now
         record = self.ledger.find(message.work_id)
         run = self.dispatcher.runs.get(message.work_id)
         state = work.WorkState.UNKNOWN
@@ -560,9 +559,18 @@
             tasks_total=total,
             tasks_done=done,
             answer=answer,
+            may_have_run=(
+                state is work.WorkState.UNKNOWN
+                and not self.is_in_interval(message.work_id, now)
+            ),
         )
         return [self.reply(sender, status)]
 
+    def is_in_interval(self, work_id: str, now: core.Instant) -> bool:
+        """Tell whether no other process can have accepted an id."""
+        verdict = self.ownership.judge(work_id, now)
+        return verdict.kind is verdicts.VerdictKind.ACCEPT
+
     # Keepers
 
     def on_refused(
--- a/src/_jasminewind/decisions/keeper.py
+++ b/src/_jasminewind/decisions/keeper.py
@@ -23,6 +23,7 @@
 QUEUE_LIMIT = 2
 # Leaves a place for short work, which can use slots that long work cannot.
 LONG_QUEUE_LIMIT = 1
+# The setting ``endpoint_lease_s`` takes the place of this in a daemon.
 ANNOUNCE_LIMIT_S = 3.0
 COORDINATOR_LIMIT_S = 10.0
 LOAD_REPORT_S = 1.0
@@ -111,8 +112,14 @@
 class Keeper(core.Decision):
     """Manages the capacity of one endpoint and starts each task once."""
 
-    def __init__(self, *, node: members.NodeId) -> None:
+    def __init__(
+        self,
+        *,
+        node: members.NodeId,
+        announce_limit_s: float = ANNOUNCE_LIMIT_S,
+    ) -> None:
         self.node = node
+        self.announce_limit_s = announce_limit_s
         self.capacity = capacity.Capacity()
         self.queue: list[Queued] = []
         self.running: dict[tasks.TaskKey, Running] = {}
@@ -343,13 +350,19 @@
             return "too many results are not acknowledged yet"
         return self.no_room(start)
 
+    def is_announced(self) -> bool:
+        """Tell whether the endpoint has announced itself lately."""
+        if self.announced_s is None:
+            return False
+        return self.now_s - self.announced_s <= self.announce_limit_s
+
     def unavailable(self) -> str:
         """Return why no start is taken at all, empty if some are."""
         if self.drain.state() is not drain.DrainState.SERVING:
             return "the endpoint is drained or leaving"
         if self.announced_s is None or self.capacity.endpoint is None:
             return "the endpoint has not announced itself yet"
-        if self.now_s - self.announced_s > ANNOUNCE_LIMIT_S:
+        if not self.is_announced():
             return "the endpoint has stopped announcing itself"
         if not self.is_attached:
             return "the endpoint is not attached"
--- a/src/_jasminewind/decisions/neighbours.py
+++ b/src/_jasminewind/decisions/neighbours.py
@@ -6,6 +6,7 @@
 from _jasminewind import ids
 from _jasminewind import members
 from _jasminewind import shards
+from _jasminewind.decisions import cells
 from _jasminewind.decisions import core
 from _jasminewind.decisions import rows
 
@@ -34,10 +35,13 @@
         """Return the shards that belong to this process's cell."""
         if self.config.version == 0:
             return ()
-        cells = max(1, self.config.cell_count)
-        cell = ids.shard_of(self.member.node.name, shard_count=cells)
-        count = self.config.shard_count
-        return tuple(s for s in range(count) if s % cells == cell)
+        count = self.config.cell_count
+        cell = cells.cell_of(self.member.node.name, cell_count=count)
+        return tuple(
+            shard
+            for shard in range(self.config.shard_count)
+            if cells.cell_of_shard(shard, cell_count=count) == cell
+        )
 
     def set_view(
         self, view: tuple[members.Member, ...], now: core.Instant
--- a/src/_jasminewind/decisions/ownership.py
+++ b/src/_jasminewind/decisions/ownership.py
@@ -139,6 +139,14 @@
             known[shard] = holding.shown_row()
         return tuple(known[shard] for shard in sorted(known))
 
+    def announced_rows(self) -> tuple[shards.ShardRow, ...]:
+        """Return the rows of own shards as last announced."""
+        return tuple(
+            announced.row
+            for shard, announced in self.announced.items()
+            if shard in self.tenures.current
+        )
+
     def owned(self) -> tuple[int, ...]:
         """Return the shards that this process owns and may extend."""
         return tuple(
--- a/src/_jasminewind/decisions/relay.py
+++ b/src/_jasminewind/decisions/relay.py
@@ -39,7 +39,9 @@
     now, if any; ``must_resend`` says that it may not have got its copy.
     ``lost_since_s`` is when the owner could no longer be asked.
     ``asks_heir`` says that the earlier owner of the id is gone and the
-    current one is asked for the record that was handed over.
+    current one is asked for the record that was handed over. ``refusal``
+    is why this entry does not take the work; the owner is then asked only
+    whether the id is known, and what it answers decides.
     """
 
     submit: work.Submit
@@ -58,6 +60,7 @@
     retry_s: float | None = None
     lost_since_s: float | None = None
     asks_heir: bool = False
+    refusal: errors.WorkError | None = None
 
     def note_sent(self, node: members.NodeId) -> None:
         """Count a copy that may reach ``node``."""
@@ -186,14 +189,20 @@
             known.tickets.append(ticket)
             self.by_ticket[ticket] = submit.work_id
             return []
-        refusal = self._refusal(submit, now)
+        refusal = self._never_accepted(submit, now)
         if refusal is not None:
             return [self._refuse(ticket, submit, refusal)]
+        refusal = self._refusal(submit, now)
+        if refusal is not None and (entry_made or not self._can_ask()):
+            if not entry_made:
+                refusal = _not_proved(refusal)
+            return [self._refuse(ticket, submit, refusal)]
         pending = Pending(
             submit=submit,
             entry_made=entry_made,
             deadline_s=now.mono_s + submit.budget_s,
             tickets=[ticket],
+            refusal=refusal,
         )
         self._keep(pending)
         self.by_ticket[ticket] = submit.work_id
@@ -356,16 +365,21 @@
     def _holder(self, pending: Pending) -> shards.Interval | None:
         """Return the interval whose owner can know the id."""
         work_id = pending.submit.work_id
-        owner = self.directory.owner_of(work_id)
         pending.asks_heir = False
         if pending.never_ran():
-            return owner
+            return self.directory.owner_of(work_id)
+        owner = self._best_informed(work_id)
+        pending.asks_heir = owner != self.directory.owner_of(work_id)
+        return owner
+
+    def _best_informed(self, work_id: str) -> shards.Interval | None:
+        """Return the owner of an id, or its heir when the owner is gone."""
+        owner = self.directory.owner_of(work_id)
         if owner is not None and self.directory.member_at(owner.owner):
             return owner
         heir = self.directory.heir_of(work_id)
         if heir is None or not self.directory.is_alive(heir.owner):
             return owner
-        pending.asks_heir = True
         return heir
 
     def _must_ask(self, pending: Pending, node: members.NodeId) -> bool:
@@ -400,7 +414,7 @@
             pending.submit,
             budget_s=max(0.0, pending.deadline_s - now.mono_s),
             config_version=self.config.version,
-            join_only=pending.asks_heir,
+            join_only=pending.asks_heir or pending.refusal is not None,
         )
         actions: core.Actions = [
             core.Send(to=node, address=address, message=submit)
@@ -474,6 +488,9 @@
                 )
         elif answer.state is not work.WorkState.FAILED:
             return []
+        elif pending.refusal is not None and _is_not_run(answer):
+            # The owner has proved what this entry could not know.
+            answer = dataclasses.replace(answer, error=pending.refusal)
         return self._finish(pending, answer)
 
     def _on_redirect(
@@ -532,7 +549,9 @@
 
     def _finish(self, pending: Pending, answer: work.Answer) -> core.Actions:
         self._unkeep(pending)
-        self.quotas.release(pending.submit.team, len(pending.submit.tasks))
+        if pending.refusal is None:
+            tasks = len(pending.submit.tasks)
+            self.quotas.release(pending.submit.team, tasks)
         actions: core.Actions = []
         for ticket in pending.tickets:
             self.by_ticket.pop(ticket, None)
@@ -541,10 +560,31 @@
 
     # Refusals
 
+    def _can_ask(self) -> bool:
+        """Tell whether an owner can be asked about an id."""
+        return self.config.version > 0 and len(self.pending) < self.max_pending
+
+    def _never_accepted(
+        self, submit: work.Submit, now: core.Instant
+    ) -> errors.WorkError | None:
+        """Return why no owner can ever have accepted an id."""
+        ahead_ms = ids.time_ms(submit.work_id) - now.wall_ms
+        if ahead_ms <= SKEW_LIMIT_MS:
+            return None
+        return _not_run(
+            errors.Code.INVALID_ARGUMENT,
+            f"the id is {ahead_ms / 1000:g} s ahead of this entry's "
+            "clock; set your clock and create a new id",
+        )
+
     def _refusal(
         self, submit: work.Submit, now: core.Instant
     ) -> errors.WorkError | None:
-        """Return why this submission is not taken, as not run."""
+        """Return why new work is not taken, as not run.
+
+        An id of the caller may have run through another entry; its owner
+        is asked before this refusal is given.
+        """
         if self.config.version == 0:
             return _not_run(
                 errors.Code.UNAVAILABLE,
@@ -556,13 +596,6 @@
                 "this entry cannot confirm that its configuration is the "
                 "newest; use another entry",
             )
-        ahead_ms = ids.time_ms(submit.work_id) - now.wall_ms
-        if ahead_ms > SKEW_LIMIT_MS:
-            return _not_run(
-                errors.Code.INVALID_ARGUMENT,
-                f"the id is {ahead_ms / 1000:g} s ahead of this entry's "
-                "clock; set your clock and create a new id",
-            )
         if len(self.pending) >= self.max_pending:
             return _not_run(
                 errors.Code.RESOURCE_EXHAUSTED,
@@ -604,7 +637,7 @@
             expires_s=now.mono_s + QUESTION_TIMEOUT_S,
             explain=explain,
         )
-        owner = self.directory.owner_of(work_id)
+        owner = self._best_informed(work_id)
         if owner is None or len(self.questions) >= MAX_QUESTIONS:
             return [self._no_reply(query_id, question)]
         self.questions[query_id] = question
@@ -636,6 +669,7 @@
                 work_id=question.work_id,
                 query_id=query_id,
                 state=work.WorkState.UNKNOWN,
+                may_have_run=True,
             )
         return core.Deliver(ticket=question.ticket, message=message)
 
@@ -681,6 +715,23 @@
         return record.address if record else members.NO_ADDRESS
 
 
+def _is_not_run(answer: work.Answer) -> bool:
+    error = answer.error
+    return error is not None and error.outcome is errors.Outcome.NOT_RUN
+
+
+def _not_proved(refusal: errors.WorkError) -> errors.WorkError:
+    """Return a refusal of an id whose owner cannot be asked."""
+    return dataclasses.replace(
+        refusal,
+        outcome=errors.Outcome.MAY_HAVE_RUN,
+        reason=(
+            f"{refusal.reason}; an earlier submission with this id cannot "
+            "be ruled out"
+        ),
+    )
+
+
 def _not_run(code: errors.Code, reason: str) -> errors.WorkError:
     return errors.WorkError(
         code=code, outcome=errors.Outcome.NOT_RUN, reason=reason
--- a/src/_jasminewind/nodes/agent.py
+++ b/src/_jasminewind/nodes/agent.py
@@ -53,6 +53,7 @@
         decision_log: node.DecisionLog,
         log: typing.Any,
         rng: random.Random,
+        endpoint_lease_s: float = keeper.ANNOUNCE_LIMIT_S,
     ) -> None:
         super().__init__(
             reactor=reactor,
@@ -62,7 +63,9 @@
             decision_log=decision_log,
             log=log,
         )
-        self.keeper = keeper.Keeper(node=member.node)
+        self.keeper = keeper.Keeper(
+            node=member.node, announce_limit_s=endpoint_lease_s
+        )
         self.membership = membership.Membership(
             member=member, seeds=seeds, rng=rng
         )
@@ -151,6 +154,8 @@
             return "no configuration is known yet"
         if not self.endpoint.is_attached:
             return "no endpoint has announced itself"
+        if not self.keeper.is_announced():
+            return "the endpoint has stopped announcing itself"
         return ""
 
     def status(self) -> AgentStatus:
@@ -190,6 +195,11 @@
         )
         self.perform(self.membership, self.membership.update_self(record, now))
         self.hand_over(now)
+        self.ownership.entries = {
+            entry.node: entry.address for entry in self.membership.contacts()
+        }
+        for row in self.ownership.announced_rows():
+            self.membership.take_row(row)
         view = self.membership.view()
         if view != self.shared_view:
             self.shared_view = view
@@ -223,6 +233,6 @@
             return members.State.LEAVING
         if self.keeper.drain.state() is not drain.DrainState.SERVING:
             return members.State.DRAINING
-        if self.endpoint.is_attached:
+        if self.endpoint.is_attached and self.keeper.is_announced():
             return members.State.SERVING
         return members.State.JOINING
--- a/src/_jasminewind/nodes/daemon.py
+++ b/src/_jasminewind/nodes/daemon.py
@@ -66,7 +66,11 @@
             members.Address(seed.host, seed.port)
             for seed in self.settings.seeds
         )
-        return agents.Agent(**self.common(), seeds=seeds)
+        return agents.Agent(
+            **self.common(),
+            seeds=seeds,
+            endpoint_lease_s=self.settings.endpoint_lease_s,
+        )
 
     def common(self) -> dict[str, typing.Any]:
         """Return the arguments that every role takes."""
--- a/src/_jasminewind/nodes/entry.py
+++ b/src/_jasminewind/nodes/entry.py
@@ -231,6 +231,7 @@
         contacts = self.config_sync.entries()
         self.directory.set_entries(contacts)
         self.relay.set_entry_count(len(contacts))
+        self.relay.set_fresh(self.config_sync.is_fresh(now))
         self._propose_initial(now)
         view = self.directory.members()
         if view is not self.shared_view:
--- a/src/_jasminewind/wire/links.py
+++ b/src/_jasminewind/wire/links.py
@@ -153,6 +153,9 @@
         if self.port is not None:
             self.port.stopListening()
         for connection in list(self.open):
+            if connection.transport is None:
+                # Still being opened; it is closed when it is ready.
+                continue
             # A graceful close lets written messages reach the peer.
             typing.cast(typing.Any, connection.transport).loseConnection()
 
@@ -162,6 +165,9 @@
 
     def connection_ready(self, connection: connections.Connection) -> None:
         """Use the connection and send what waited for it."""
+        if self.is_stopping:
+            connection.close("this process is shutting down")
+            return
         node = connection.peer_node()
         assert node is not None
         address = connection.peer_address()
--- a/testing/decisions/test_coordinator.py
+++ b/testing/decisions/test_coordinator.py
@@ -284,3 +284,24 @@
     answer = harness.answer(work_id, conftest.OTHER_ENTRY)
     assert answer.state == work.WorkState.COMPLETE
     assert answer == harness.answer(work_id)
+
+
+@pytest.mark.parametrize(
+    ("kind", "may_have_run"),
+    [
+        (verdicts.VerdictKind.ACCEPT, False),
+        (verdicts.VerdictKind.AHEAD, True),
+        (verdicts.VerdictKind.EARLIER, True),
+        (verdicts.VerdictKind.UNKNOWN, True),
+    ],
+)
+def test_unknown_id_is_unseen_only_in_the_own_interval(
+    harness, kind, may_have_run
+):
+    """Guards against "never seen" for an id that another owner may hold."""
+    harness.ownership.kind = kind
+    query = work.QueryWork(work_id=harness.new_id(), query_id=5)
+    harness.give(conftest.ENTRY, query)
+    status = harness.sent[-1].message
+    assert status.state == work.WorkState.UNKNOWN
+    assert status.may_have_run is may_have_run
--- /dev/null
+++ b/testing/nodes/conftest.py
@@ -0,0 +1,100 @@
+"""Fixtures that drive nodes with a fake clock and a fake table."""
+
+import random
+
+import pytest
+import result
+import structlog
+from twisted.internet import defer
+from twisted.internet import testing as twisted_testing
+
+from _jasminewind import configuration
+from _jasminewind import members
+from _jasminewind import timers
+from _jasminewind.decisions import core
+from _jasminewind.nodes import agent as agents
+from _jasminewind.platform import client
+from testing.decisions import fakes
+
+MEMBER = members.Member(
+    node=members.NodeId("agent-0", 1),
+    address=members.Address("127.0.0.1", 7000),
+    role=members.Role.AGENT,
+    region="here",
+    failure_domain="a",
+    rack="a-1",
+)
+
+
+class Clock(twisted_testing.MemoryReactorClock):
+    """A reactor without sockets, whose time a test advances."""
+
+    def wall_ms(self):
+        """Return the wall time that belongs to the clock."""
+        return fakes.START_MS + int(self.seconds() * 1000)
+
+    def run(self, seconds):
+        """Let time pass in steps of a decision's tick."""
+        self.pump([0.1] * round(seconds / 0.1))
+
+
+class Table(client.Table):
+    """The fake table behind the interface of the platform."""
+
+    def __init__(self):
+        self.fake = fakes.FakeTable()
+
+    def read(self, keys, prefix):
+        """Answer at once."""
+        action = core.ReadTable(tag="", keys=keys, prefix=prefix)
+        return defer.succeed(result.Ok(self.fake.read(action).rows))
+
+    def write(self, key, expected_version, value):
+        """Answer at once."""
+        reply = self.fake.write(
+            core.WriteTable(
+                tag="",
+                key=key,
+                expected_version=expected_version,
+                value=value,
+            )
+        )
+        if reply.error is not None:
+            return defer.succeed(result.Err(reply.error))
+        return defer.succeed(result.Ok(reply.version))
+
+
+class DecisionLog:
+    """Drops the decisions."""
+
+    def decision(self, action):
+        """Ignore one decision."""
+
+    def explain(self, work_id):
+        """Return nothing."""
+        del work_id
+        return ()
+
+
+@pytest.fixture
+def clock():
+    """Return a reactor without sockets."""
+    return Clock()
+
+
+@pytest.fixture
+def agent(clock):
+    """Return the only agent of its cell, with a configuration."""
+    found = agents.Agent(
+        reactor=clock,
+        timer_service=timers.TimerService(clock=clock, wall_ms=clock.wall_ms),
+        member=MEMBER,
+        seeds=(),
+        table=Table(),
+        decision_log=DecisionLog(),
+        log=structlog.get_logger(),
+        rng=random.Random(1),
+        endpoint_lease_s=4.0,
+    )
+    found.apply_config(configuration.Configuration(version=1, shard_count=2))
+    return found
--- /dev/null
+++ b/testing/nodes/test_agent.py
@@ -0,0 +1,86 @@
+"""Tests of the agent: how its decisions are wired to each other."""
+
+from _jasminewind import members
+from _jasminewind import resources
+from _jasminewind.decisions import core
+from _jasminewind.messages import tasks
+from testing import starts
+
+ENTRY = members.NodeId("entry-1", 1)
+ENDPOINT = members.Endpoint(
+    name="minion-1",
+    kind=members.EndpointKind.MINION,
+    service="orders",
+    capacity=resources.Resources(slots=8),
+    connections=64,
+)
+
+
+def announce(agent):
+    """Let an attached endpoint announce itself."""
+    now = agent.timers.now()
+    agent.endpoint.is_attached = True
+    agent.perform(agent.keeper, agent.keeper.on_announce(ENDPOINT, now))
+
+
+def test_silent_endpoint_leaves_the_serving_state(agent, clock):
+    """Guards against work for an endpoint that is gone."""
+    announce(agent)
+    clock.run(3.8)
+    assert agent.membership.member.state is members.State.SERVING
+    clock.run(0.6)
+    assert agent.membership.member.state is members.State.JOINING
+    announce(agent)
+    clock.run(0.4)
+    assert agent.membership.member.state is members.State.SERVING
+
+
+def test_silent_endpoint_refuses_starts(agent, clock):
+    """Guards against a start between two refreshes of the state."""
+    announce(agent)
+    agent.keeper.on_attached((), agent.timers.now())
+    clock.run(4.4)
+    message = tasks.StartTasks(
+        keeper=agent.member.node,
+        starts=(starts.task_start(1),),
+        config_version=1,
+    )
+    actions = agent.keeper.on_message(ENTRY, message, agent.timers.now())
+    sent = [a.message for a in actions if isinstance(a, core.Send)]
+    assert any(isinstance(m, tasks.TasksRefused) for m in sent)
+
+
+def test_known_entries_are_told_the_owners(agent, clock):
+    """Guards against entries that learn a new owner by digests only."""
+    address = members.Address("127.0.0.1", 7100)
+    contact = members.Contact(node=ENTRY, address=address)
+    agent.membership.entries = {ENTRY.name: contact}
+    clock.run(0.3)
+    assert agent.ownership.entries == {ENTRY: address}
+
+
+def test_own_shards_are_in_the_digests(agent, clock):
+    """Guards against a reporter that does not report its own shards."""
+    clock.run(15.0)
+    assert agent.ownership.owned() == (0, 1)
+    rows = agent.membership.reporter.rows
+    assert {row.current.owner for row in rows.values()} == {agent.member.node}
+    assert sorted(rows) == [0, 1]
+
+
+def test_shutdown_ends_when_the_shards_are_given_away(agent, clock):
+    """Guards against an exit before the records are handed over."""
+    clock.run(15.0)
+    agent.begin_shutdown()
+    assert not agent.is_idle()
+    clock.run(10.0)
+    assert agent.coordinator.is_closed
+    assert agent.is_idle()
+
+
+def test_stop_with_a_link_that_is_being_opened(agent):
+    """Guards against an exit that fails on a half-open connection."""
+    address = members.Address("127.0.0.1", 7100)
+    agent.links.send(ENTRY, address, tasks.ResultsAck(keys=()))
+    agent.stop()
+    assert agent.links.is_stopping
