Measure work, links and configuration at entries and agents

Cause: metrics.py defined instruments that nothing recorded.

Change: the daemon makes the Meter from its settings and gives it to the node. Coordinators count starts, retries, hedges and refusals by code, and record queue and run times; entries record submissions, answers by state and outcome, response and refusal times; every process records its links, bytes, messages and wasted messages by type, members, shards and the age of its configuration. A refusal of starts and a redirection count as two wasted messages: themselves and what they reply to. The last export happens after every socket is closed, because it may block.

--- a/src/_jasminewind/decisions/coordinator.py
+++ b/src/_jasminewind/decisions/coordinator.py
@@ -10,6 +10,7 @@
 from _jasminewind import configuration
 from _jasminewind import errors
 from _jasminewind import members
+from _jasminewind import metrics
 from _jasminewind.decisions import admission
 from _jasminewind.decisions import core
 from _jasminewind.decisions import dispatcher
@@ -89,6 +90,7 @@
         ownership: Ownership,
         rng: random.Random,
         freshness: Freshness | None = None,
+        meter: metrics.Meter = metrics.NO_METER,
     ) -> None:
         self.member = member
         self.ownership = ownership
@@ -96,7 +98,8 @@
         self.config = configuration.NO_CONFIGURATION
         self.ledger = ledger.Ledger()
         self.admission = admission.Admission()
-        self.dispatcher = dispatcher.Dispatcher(rng=rng)
+        self.meter = meter
+        self.dispatcher = dispatcher.Dispatcher(rng=rng, meter=meter)
         self.pending: dict[str, Pending] = {}
         self.addresses: dict[members.NodeId, members.Address] = {}
         self.next_expire_s = 0.0
@@ -391,6 +394,7 @@
         answer = work.Answer(
             work_id=work_id, state=work.WorkState.FAILED, error=error
         )
+        self.meter.add(metrics.REFUSALS, reason=error.code.value)
         actions: core.Actions = [refusal_log(work_id, error)]
         actions.extend(self.reply(each, answer) for each in requesters)
         return actions
@@ -418,6 +422,7 @@
         answer = work.Answer(
             work_id=work_id, state=work.WorkState.FAILED, error=error
         )
+        self.meter.add(metrics.REFUSALS, reason=error.code.value)
         return [refusal_log(work_id, error), *self.give(answer, now)]
 
     def answer_unknown(
--- a/src/_jasminewind/decisions/dispatcher.py
+++ b/src/_jasminewind/decisions/dispatcher.py
@@ -9,6 +9,7 @@
 from _jasminewind import configuration
 from _jasminewind import errors
 from _jasminewind import members
+from _jasminewind import metrics
 from _jasminewind import resources
 from _jasminewind.decisions import core
 from _jasminewind.decisions import outliers
@@ -85,8 +86,14 @@
     of each type per keeper.
     """
 
-    def __init__(self, *, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        meter: metrics.Meter = metrics.NO_METER,
+    ) -> None:
         self.rng = rng
+        self.meter = meter
         self.config = configuration.NO_CONFIGURATION
         self.weights: dict[str, float] = {}
         self.policy: routing.RoutingPolicy = routing.from_name(
@@ -507,10 +514,24 @@
                 is_long=task.is_long,
             )
         )
+        self.measure_start(attempt, now_s)
         self.plan_checks(attempt, now_s)
         run.pool.refresh(keeper, now_s)
         self.log_start(attempt, candidates)
 
+    def measure_start(self, attempt: runs.Attempt, now_s: float) -> None:
+        """Count a start and the time its task was queued."""
+        task = attempt.task
+        team = task.run.team
+        self.meter.add(metrics.TASK_STARTS, team=team)
+        waited_s = now_s - task.queued_s
+        self.meter.record(metrics.QUEUE_TIME, waited_s, team=team)
+        if attempt.key.attempt == 0:
+            return
+        is_hedge = len(task.live) > 1
+        again = metrics.TASK_HEDGES if is_hedge else metrics.TASK_RETRIES
+        self.meter.add(again, team=team)
+
     def log_start(
         self, attempt: runs.Attempt, candidates: list[pools.KeeperState]
     ) -> None:
@@ -879,6 +900,7 @@
             keeper.slowness, run_s, typical_s
         )
         task.times.add(run_s, now.mono_s)
+        self.meter.record(metrics.RUN_TIME, run_s, team=run.team)
         run.has_run = True
         if run.answered or task.finished:
             return
--- a/src/_jasminewind/metrics.py
+++ b/src/_jasminewind/metrics.py
@@ -198,6 +198,9 @@
         """Ignore the value."""
 
 
+NO_METER = NoMeter()
+
+
 class ExportMeter(Meter):
     """Gives measurements to an OpenTelemetry meter provider."""
 
@@ -248,7 +251,7 @@
 def from_settings(chosen: settings.Settings) -> Meter:
     """Return the meter that the settings ask for."""
     if not chosen.metrics_endpoint:
-        return NoMeter()
+        return NO_METER
     # Imported here, because the SDK takes memory that an agent without
     # export does not have to spare.
     from opentelemetry.exporter.otlp.proto.http import metric_exporter
--- a/src/_jasminewind/nodes/agent.py
+++ b/src/_jasminewind/nodes/agent.py
@@ -6,6 +6,7 @@
 
 from _jasminewind import announcements
 from _jasminewind import members
+from _jasminewind import metrics
 from _jasminewind import timers
 from _jasminewind.decisions import agentsync
 from _jasminewind.decisions import coordinator
@@ -54,6 +55,7 @@
         log: typing.Any,
         rng: random.Random,
         endpoint_lease_s: float = keeper.ANNOUNCE_LIMIT_S,
+        meter: metrics.Meter = metrics.NO_METER,
     ) -> None:
         super().__init__(
             reactor=reactor,
@@ -62,6 +64,7 @@
             table=table,
             decision_log=decision_log,
             log=log,
+            meter=meter,
         )
         self.keeper = keeper.Keeper(
             node=member.node, announce_limit_s=endpoint_lease_s
@@ -76,6 +79,7 @@
             ownership=self.ownership,
             rng=rng,
             freshness=self.config_sync,
+            meter=meter,
         )
         self.endpoint = endpoint.EndpointTask(node=self, keeper=self.keeper)
         self.shared_view: tuple[members.Member, ...] = ()
@@ -217,6 +221,21 @@
         answers = self.coordinator.close()
         self.perform(self.ownership, self.ownership.hand_over(answers, now))
 
+    def measure(self, now: core.Instant) -> None:
+        """Record the state of this agent."""
+        super().measure(now)
+        counts = self.coordinator.status()
+        load = self.keeper.load()
+        self.meter.record(metrics.QUEUED, counts.tasks_waiting)
+        self.meter.record(metrics.RUNNING, load.running)
+        self.meter.record(metrics.MEMBERS, len(self.membership.view()))
+        self.meter.record(metrics.SHARDS_OWNED, len(self.ownership.owned()))
+        config = self.config_sync.current()
+        self.meter.record(metrics.CONFIG_VERSION, config.version)
+        if config.version > 0:
+            age_s = now.mono_s - self.config_sync.confirmed_s
+            self.meter.record(metrics.CONFIG_AGE, age_s)
+
     def changed_load(self) -> members.Load:
         """Return the announced load, or a new one if it has changed.
 
--- a/src/_jasminewind/nodes/daemon.py
+++ b/src/_jasminewind/nodes/daemon.py
@@ -13,6 +13,7 @@
 from _jasminewind import configuration
 from _jasminewind import logs
 from _jasminewind import members
+from _jasminewind import metrics
 from _jasminewind import settings as settings_module
 from _jasminewind import timers
 from _jasminewind.nodes import agent as agents
@@ -47,6 +48,7 @@
         self.table = tables.HttpTable(
             reactor=reactor, host=chosen.table.host, port=chosen.table.port
         )
+        self.meter = metrics.from_settings(chosen)
         self.ports: list[typing.Any] = []
         self.is_leaving = False
         self.leaving_since_s = 0.0
@@ -81,6 +83,7 @@
             "table": self.table,
             "decision_log": self.decision_log,
             "log": self.log,
+            "meter": self.meter,
             "rng": self.rng,
         }
 
@@ -224,6 +227,8 @@
         )
     reactor.callWhenRunning(process.start)
     reactor.run(installSignalHandlers=False)
+    # The last export may block, so it comes after every socket is closed.
+    process.meter.close()
 
 
 if __name__ == "__main__":
--- a/src/_jasminewind/nodes/entry.py
+++ b/src/_jasminewind/nodes/entry.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import itertools
+import math
 import random
 import typing
 
@@ -11,8 +12,10 @@
 
 from _jasminewind import changes
 from _jasminewind import configuration
+from _jasminewind import errors
 from _jasminewind import ids
 from _jasminewind import members
+from _jasminewind import metrics
 from _jasminewind import timers
 from _jasminewind.api import backend
 from _jasminewind.decisions import core
@@ -57,6 +60,7 @@
         log: typing.Any,
         rng: random.Random,
         initial_config: configuration.Configuration | None = None,
+        meter: metrics.Meter = metrics.NO_METER,
     ) -> None:
         super().__init__(
             reactor=reactor,
@@ -65,6 +69,7 @@
             table=table,
             decision_log=decision_log,
             log=log,
+            meter=meter,
         )
         self.initial_config = initial_config
         self.rng = rng
@@ -104,14 +109,18 @@
         """Forward a job or a request; fire with its answer."""
         entry_made = submit.work_id in self.entry_made
         self.entry_made.discard(submit.work_id)
-        return self._ask(
+        self.meter.add(metrics.SUBMISSIONS, team=submit.team)
+        began_s = self.timers.now().mono_s
+        asking = self._ask(
             lambda ticket, now: self.relay.submit(
                 ticket, submit, now, entry_made=entry_made
             )
         )
+        return asking.addCallback(self._measure_answer, submit.team, began_s)
 
     def cancel(self, work_id: str) -> None:
         """Tell the owner that nobody waits for the answer any more."""
+        self.meter.add(metrics.CANCELLATIONS)
         actions = self.relay.cancel(work_id, self.timers.now())
         self.perform(self.relay, actions)
 
@@ -239,8 +248,35 @@
             self.share_view(view)
             self.releases.ownership.on_members(view, now)
 
+    def measure(self, now: core.Instant) -> None:
+        """Record the state of this entry."""
+        super().measure(now)
+        self.meter.record(metrics.MEMBERS, len(self.directory.members()))
+        version = self.config().version
+        self.meter.record(metrics.CONFIG_VERSION, version)
+        confirmed_s = self.config_sync.confirmed_s(now)
+        if version > 0 and math.isfinite(confirmed_s):
+            age_s = now.mono_s - confirmed_s
+            self.meter.record(metrics.CONFIG_AGE, age_s)
+
     # Parts.
 
+    def _measure_answer(
+        self, answer: work.Answer, team: str, began_s: float
+    ) -> work.Answer:
+        took_s = self.timers.now().mono_s - began_s
+        error = answer.error
+        outcome = "" if error is None else error.outcome.value
+        self.meter.add(
+            metrics.ANSWERS, state=answer.state.value, outcome=outcome
+        )
+        if error is not None and error.outcome is errors.Outcome.NOT_RUN:
+            self.meter.add(metrics.REFUSALS, reason=error.code.value)
+            self.meter.record(metrics.REFUSAL_TIME, took_s, team=team)
+        else:
+            self.meter.record(metrics.RESPONSE_TIME, took_s, team=team)
+        return answer
+
     def _ask(
         self,
         begin: collections.abc.Callable[[int, core.Instant], core.Actions],
--- a/src/_jasminewind/nodes/node.py
+++ b/src/_jasminewind/nodes/node.py
@@ -7,12 +7,25 @@
 
 from _jasminewind import configuration
 from _jasminewind import members
+from _jasminewind import metrics
 from _jasminewind import timers
 from _jasminewind.decisions import core
 from _jasminewind.messages import links as link_messages
+from _jasminewind.messages import tasks as task_messages
+from _jasminewind.messages import work as work_messages
 from _jasminewind.platform import client
 from _jasminewind.wire import links
 
+MEASURE_PERIOD_S = 5.0
+# Messages that lead to no start and no answer. A refusal of starts and a
+# redirection count for the message that they reply to as well.
+WASTED_MESSAGES: dict[type, int] = {
+    task_messages.TasksRefused: 2,
+    work_messages.Redirect: 2,
+    task_messages.QueryTasks: 1,
+    task_messages.TaskStatuses: 1,
+}
+
 Handler = collections.abc.Callable[[core.Decision, typing.Any], None]
 
 
@@ -43,8 +56,11 @@
         table: client.Table,
         decision_log: DecisionLog,
         log: typing.Any,
+        meter: metrics.Meter = metrics.NO_METER,
     ) -> None:
         self.reactor = reactor
+        self.meter = meter
+        self.measured_bytes = 0
         self.timers = timer_service
         self.member = member
         self.table = table
@@ -72,6 +88,15 @@
             core.Apply: self._apply,
             core.LogDecision: self._log,
         }
+        self.ticks.append(timer_service.every(MEASURE_PERIOD_S, self.measure))
+
+    def measure(self, now: core.Instant) -> None:
+        """Record what every process has; called from time to time."""
+        del now
+        self.meter.record(metrics.LINKS, len(self.links.open))
+        sent = self.links.traffic()[1]
+        self.meter.add(metrics.BYTES_SENT, sent - self.measured_bytes)
+        self.measured_bytes = sent
 
     def add(self, decision: core.Decision) -> None:
         """Drive ``decision`` with its messages and with time."""
@@ -136,6 +161,11 @@
                 0, lambda now: self.link_message(action.to, action.message)
             )
             return
+        kind = type(action.message)
+        self.meter.add(metrics.MESSAGES_SENT, type=kind.__name__)
+        wasted = WASTED_MESSAGES.get(kind)
+        if wasted:
+            self.meter.add(metrics.MESSAGES_WASTED, wasted, type=kind.__name__)
         self.links.send(action.to, action.address, action.message)
 
     def _probe(self, decision: core.Decision, action: core.Probe) -> None:
--- a/testing/decisions/fakes.py
+++ b/testing/decisions/fakes.py
@@ -1,5 +1,6 @@
 """Fakes at the interfaces of the ownership: table, link, clock, cell."""
 
+import collections
 import enum
 import random
 
@@ -7,6 +8,7 @@
 from _jasminewind import errors
 from _jasminewind import ids
 from _jasminewind import members
+from _jasminewind import metrics
 from _jasminewind.decisions import core
 from _jasminewind.decisions import ownership
 
@@ -14,6 +16,27 @@
 DEAD_S = 10.0
 
 
+class Meter(metrics.Meter):
+    """Keeps every measurement, by the name of the instrument."""
+
+    def __init__(self):
+        self.values = collections.defaultdict(list)
+
+    def add(self, instrument, amount=1, **attributes):
+        """Keep an amount."""
+        del attributes
+        self.values[instrument.name].append(amount)
+
+    def record(self, instrument, value, **attributes):
+        """Keep a value."""
+        del attributes
+        self.values[instrument.name].append(value)
+
+    def total(self, instrument):
+        """Return the sum of a counter."""
+        return sum(self.values[instrument.name])
+
+
 class TableMode(enum.Enum):
     """What the fake table does with calls."""
 
--- a/testing/decisions/test_coordinator.py
+++ b/testing/decisions/test_coordinator.py
@@ -4,11 +4,13 @@
 
 from _jasminewind import errors
 from _jasminewind import members
+from _jasminewind import metrics
 from _jasminewind.decisions import verdicts
 from _jasminewind.messages import ownership as ownership_messages
 from _jasminewind.messages import tasks
 from _jasminewind.messages import work
 from testing.decisions import conftest
+from testing.decisions import fakes
 
 JOB = work.WorkKind.JOB
 Outcome = errors.Outcome
@@ -305,3 +307,18 @@
     status = harness.sent[-1].message
     assert status.state == work.WorkState.UNKNOWN
     assert status.may_have_run is may_have_run
+
+
+def test_starts_and_refusals_are_measured(harness):
+    """Guards against metrics that stay at zero while work runs."""
+    meter = fakes.Meter()
+    harness.coordinator.meter = meter
+    harness.coordinator.dispatcher.meter = meter
+    harness.submit()
+    harness.submit(team="unknown")
+    harness.finish()
+    assert meter.total(metrics.TASK_STARTS) == 1
+    assert meter.total(metrics.TASK_RETRIES) == 0
+    assert meter.total(metrics.REFUSALS) == 1
+    assert meter.values[metrics.QUEUE_TIME.name] == [0.0]
+    assert meter.values[metrics.RUN_TIME.name] == [0.1]
--- a/testing/nodes/test_agent.py
+++ b/testing/nodes/test_agent.py
@@ -1,10 +1,12 @@
 """Tests of the agent: how its decisions are wired to each other."""
 
 from _jasminewind import members
+from _jasminewind import metrics
 from _jasminewind import resources
 from _jasminewind.decisions import core
 from _jasminewind.messages import tasks
 from testing import starts
+from testing.decisions import fakes
 
 ENTRY = members.NodeId("entry-1", 1)
 ENDPOINT = members.Endpoint(
@@ -84,3 +86,25 @@
     agent.links.send(ENTRY, address, tasks.ResultsAck(keys=()))
     agent.stop()
     assert agent.links.is_stopping
+
+
+def test_state_of_an_agent_is_measured(agent, clock):
+    """Guards against gauges that no process records."""
+    agent.meter = fakes.Meter()
+    clock.run(15.0)
+    found = agent.meter.values
+    assert found[metrics.SHARDS_OWNED.name][-1] == 2
+    assert found[metrics.LINKS.name][-1] == 0
+    assert found[metrics.MEMBERS.name][-1] == 1
+
+
+def test_refused_starts_count_as_wasted_messages(agent):
+    """Guards against a measure of waste that misses refusals."""
+    agent.meter = fakes.Meter()
+    message = tasks.StartTasks(
+        keeper=agent.member.node,
+        starts=(starts.task_start(1),),
+        config_version=1,
+    )
+    agent.link_message(ENTRY, message)
+    assert agent.meter.total(metrics.MESSAGES_WASTED) == 2
--- a/testing/test_metrics.py
+++ b/testing/test_metrics.py
@@ -44,6 +44,24 @@
     assert ran.stdout.strip() == "False"
 
 
+def test_agent_does_not_load_what_only_entries_need():
+    """Guards against an agent above its memory limit by its imports."""
+    code = (
+        "import sys\n"
+        "from _jasminewind.nodes import daemon\n"
+        "unused = ('opentelemetry', 'klein', 'treq', 'google', 'fire')\n"
+        "print([n for n in unused if n in sys.modules])\n"
+    )
+    ran = subprocess.run(
+        [sys.executable, "-c", code],
+        env={"PYTHONPATH": ":".join(p for p in sys.path if p)},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert ran.stdout.strip() == "[]"
+
+
 def test_instruments_reach_the_exporter_with_their_units():
     """Guards against instruments that the SDK refuses or renames."""
     reader = export.InMemoryMetricReader()
