Add failure tests with real processes: fixtures, client and oracle

Failure tests need a fleet of processes that can be damaged and mended, a seeded client and a judge of starts and replies. First tests cover killed, paused and replaced processes. Not yet verified.

--- /dev/null
+++ b/testing/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of failures with real processes on loopback."""
--- /dev/null
+++ b/testing/fleet/oracle.py
@@ -0,0 +1,90 @@
+"""Judges the replies of a client by the starts that endpoints saw."""
+
+import collections
+import typing
+
+from testing.fleet import system as systems
+from testing.fleet import traffic
+
+Start = dict[str, typing.Any]
+
+
+def check(client: traffic.Client) -> collections.Counter[str]:
+    """Fail on any violation; return the number of replies by outcome."""
+    wait_ends(client.system)
+    starts: dict[str, list[Start]] = collections.defaultdict(list)
+    for start in client.system.starts():
+        starts[start["key"]["work_id"]].append(start)
+    by_id: dict[str, list[traffic.Reply]] = collections.defaultdict(list)
+    for reply in client.replies:
+        by_id[reply.work.work_id].append(reply)
+    faults: list[str] = []
+    for work_id, replies in by_id.items():
+        faults += start_faults(replies[0].work, starts[work_id])
+        for reply in replies:
+            faults += reply_faults(reply, replies, starts[work_id])
+    assert not faults, "\n".join(faults)
+    return collections.Counter(reply.outcome for reply in client.replies)
+
+
+def wait_ends(system: systems.System) -> None:
+    """Return once no task runs, so that no start can still come."""
+    system.wait(lambda: system.running() == 0, "the end of every task")
+
+
+def start_faults(
+    work: traffic.Work, starts: list[Start]
+) -> collections.abc.Iterator[str]:
+    """Yield starts that happened twice (invariants 1 and 5)."""
+    keys = collections.Counter(
+        (start["key"]["index"], start["key"]["attempt"]) for start in starts
+    )
+    for key, count in keys.items():
+        if count > 1:
+            yield f"{work.work_id}: {key} started {count} times: {starts}"
+    if work.method != traffic.ONCE:
+        return
+    tasks = collections.Counter(start["key"]["index"] for start in starts)
+    for index, count in tasks.items():
+        if count > 1:
+            yield f"{work.work_id}: task {index} ran {count} times: {starts}"
+
+
+def reply_faults(
+    reply: traffic.Reply, replies: list[traffic.Reply], starts: list[Start]
+) -> collections.abc.Iterator[str]:
+    """Yield what is untrue in one reply (invariants 2, 3 and 4)."""
+    name = f"{reply.work.work_id} ({reply.outcome})"
+    if reply.outcome == traffic.COMPLETE:
+        if echoes(reply) != wanted_echoes(reply.work):
+            yield f"{name}: not the whole answer: {reply.body}"
+        missing = set(range(reply.work.tasks)) - {
+            start["key"]["index"] for start in starts
+        }
+        if missing:
+            yield f"{name}: tasks {missing} never started"
+    elif reply.outcome == "NOT_RUN":
+        last_s = max(other.answered_s for other in replies)
+        for start in starts:
+            if start["started_s"] <= reply.answered_s:
+                yield f"{name}: had run: {start} {reply.body}"
+            elif reply.answered_s == last_s:
+                yield f"{name}: ran later: {start} {reply.body}"
+    elif reply.outcome == "FAILED_WHILE_RUNNING":
+        if not starts:
+            yield f"{name}: never started: {reply.body}"
+    elif reply.outcome not in ("MAY_HAVE_RUN", traffic.LOST):
+        yield f"{name}: no outcome: {reply.body}"
+
+
+def echoes(reply: traffic.Reply) -> list[str]:
+    """Return the tags in the outputs of an answer, in order."""
+    if not reply.work.is_job:
+        return [reply.body["payload"]["echo"]["tag"]]
+    outputs = reply.body.get("outputs", [])
+    return [output["payload"]["echo"]["tag"] for output in outputs]
+
+
+def wanted_echoes(work: traffic.Work) -> list[str]:
+    """Return the tags that a whole answer has, in order."""
+    return [work.tag(index) for index in range(work.tasks)]
--- /dev/null
+++ b/testing/fleet/system.py
@@ -0,0 +1,150 @@
+"""A deployment of real processes that can be damaged and mended."""
+
+import collections
+import dataclasses
+import json
+import pathlib
+import time
+import typing
+import urllib.request
+
+from _jasminewind.experiment import deployments
+from _jasminewind.experiment import fleets
+from _jasminewind.experiment import layout as layouts
+from _jasminewind.experiment import ports
+
+EXAMPLES = pathlib.Path(__file__).resolve().parents[2] / "examples"
+SMALL = dataclasses.replace(
+    deployments.KARRI_CREEK, minions=3, workers=3, workers_per_rack=1
+)
+SHARDS = 8
+# Guards against a test that hangs. It is no bound on results.
+SAFETY_S = 60.0
+POLL_S = 0.05
+
+
+class System(fleets.Fleet):
+    """A fleet whose stand-ins take faults and whose processes return."""
+
+    def mend(self) -> None:
+        """Clear every fault, replace what is gone, and wait."""
+        for name in self.endpoint_names() + self.platform_names():
+            self.fault(name)
+        for process in self.processes.values():
+            process.send_signal(fleets.signal.SIGCONT)
+        for name in self.daemon_names():
+            if name not in self.processes:
+                self.restart(name)
+        self.wait_ready()
+        self.wait(self.is_whole, "every agent serving and known to entries")
+
+    def is_whole(self) -> bool:
+        """Tell whether each entry and agent knows every agent as serving."""
+        wanted = len(self.agents())
+        for index in range(len(self.layout.entries)):
+            status = self.entry_status(index)
+            if status.get("agents") != wanted or not status.get("ready"):
+                return False
+        states = [self.agent_status(n)["state"] for n in self.agents()]
+        return set(states) == {"serving"}
+
+    def wait(self, condition: typing.Callable[[], bool], what: str) -> None:
+        """Return once ``condition()`` is true."""
+        until_s = time.monotonic() + SAFETY_S
+        while not condition():
+            if time.monotonic() > until_s:
+                raise fleets.FleetError(f"waited {SAFETY_S} s for: {what}")
+            time.sleep(POLL_S)
+
+    # Names.
+
+    def agents(self, kind: str = "") -> list[str]:
+        """Return the names of the agents, of one kind of endpoint."""
+        names = [agent.name for agent in self.layout.agents]
+        return [name for name in names if f"-{kind}" in name]
+
+    def entries(self) -> list[str]:
+        """Return the names of the entries."""
+        return [entry.name for entry in self.layout.entries]
+
+    def daemon_names(self) -> list[str]:
+        """Return the names of entries and agents."""
+        return self.entries() + self.agents()
+
+    def endpoint_names(self) -> list[str]:
+        """Return the names of minions and workers."""
+        return [
+            standin.name
+            for standin in (*self.layout.minions, *self.layout.workers)
+        ]
+
+    def platform_names(self) -> list[str]:
+        """Return the names of the table and the balancer."""
+        return [self.layout.table.name, self.layout.balancer.name]
+
+    # Stand-ins.
+
+    def fault(self, standin: str, **faults: typing.Any) -> None:
+        """Put exactly these faults in force at a stand-in."""
+        request = urllib.request.Request(
+            f"{self.layout.control_url(standin)}/v1/faults",
+            data=json.dumps(faults).encode(),
+        )
+        with urllib.request.urlopen(request, timeout=SAFETY_S):
+            pass
+
+    def table_fault(self, **faults: typing.Any) -> None:
+        """Put exactly these faults in force at the table."""
+        self.fault(self.layout.table.name, **faults)
+
+    def starts(self) -> list[dict[str, typing.Any]]:
+        """Return every start that any endpoint has seen."""
+        found: list[dict[str, typing.Any]] = []
+        for name in self.endpoint_names():
+            url = f"{self.layout.control_url(name)}/v1/starts"
+            found += fleets.get(url)["starts"]
+        return found
+
+    def started(self, work_id: str) -> int:
+        """Return how many starts of an id any endpoint has seen."""
+        return self.start_counts()[work_id]
+
+    def start_counts(self) -> collections.Counter[str]:
+        """Return the number of starts by id."""
+        return collections.Counter(
+            start["key"]["work_id"] for start in self.starts()
+        )
+
+    # Ownership.
+
+    def shards_of(self, name: str) -> list[int]:
+        """Return the shards that an agent owns."""
+        return list(self.agent_status(name)["shards"])
+
+    def owner(self, *, kind: str = "") -> str:
+        """Return the agent of a kind that owns the most shards."""
+        return max(
+            self.agents(kind), key=lambda name: len(self.shards_of(name))
+        )
+
+    def running(self) -> int:
+        """Return the number of starts that have not ended."""
+        return sum(1 for start in self.starts() if not start["ended_s"])
+
+
+def build(deployment: deployments.Deployment, folder: pathlib.Path) -> System:
+    """Start a deployment with its example configuration."""
+    layout = layouts.build(
+        deployment,
+        config_file=EXAMPLES / deployment.name / "config.json",
+        allocator=ports.PortAllocator(),
+    )
+    system = System(layout, folder=folder)
+    try:
+        system.start()
+        system.wait_ready()
+        system.wait(system.is_whole, "a whole system after the start")
+    except BaseException:
+        system.stop()
+        raise
+    return system
--- /dev/null
+++ b/testing/fleet/test_processes.py
@@ -0,0 +1,185 @@
+"""Processes that die, stand still, or are replaced."""
+
+import concurrent.futures
+import time
+
+import pytest
+
+from testing.fleet import oracle
+from testing.fleet import traffic
+
+# Longer than the 3 s after which a successor takes a shard over.
+PAUSED_S = 8.0
+
+
+def submit_later(pool, client, works):
+    """Submit each piece of work in a thread of its own."""
+    return [pool.submit(client.settle, work) for work in works]
+
+
+def long_work(client, shards, *, run_s=1.0):
+    """Return a job and a request on each shard."""
+    works = []
+    for shard in shards:
+        works.append(client.new(shard=shard, run_s=run_s))
+        works.append(
+            client.new(shard=shard, run_s=run_s, tasks=4, is_job=True)
+        )
+    return works
+
+
+def wait_started(system, works):
+    """Return once every piece of work has started a task."""
+
+    def all_started():
+        counts = system.start_counts()
+        return all(counts[work.work_id] for work in works)
+
+    system.wait(all_started, "the start of all work")
+
+
+def taken_over(system, owner, shards):
+    """Return once other agents own the shards of ``owner``."""
+
+    def all_owned():
+        others = [n for n in system.agents() if n != owner]
+        owned = [s for n in others for s in system.shards_of(n)]
+        return set(shards) <= set(owned)
+
+    began_s = time.monotonic()
+    system.wait(all_owned, f"a takeover of {shards}")
+    return time.monotonic() - began_s
+
+
+def test_kill_of_a_coordinator_with_work_running(system, client):
+    """Guards against a second start or silence after an owner died."""
+    owner = system.owner()
+    shards = system.shards_of(owner)
+    works = long_work(client, shards)
+    with concurrent.futures.ThreadPoolExecutor(32) as pool:
+        futures = submit_later(pool, client, works)
+        wait_started(system, works)
+        system.kill(owner)
+        again = submit_later(pool, client, works)
+        taken_over(system, owner, shards)
+        for shard in shards:
+            client.complete_one(shard=shard)
+        replies = [future.result() for future in futures + again]
+    later = [client.settle(work) for work in works]
+    assert all(reply.outcome != "NOT_RUN" for reply in replies + later)
+    oracle.check(client)
+
+
+def test_kill_of_an_entry(system, client):
+    """Guards against a second start when a caller changes the entry."""
+    works = [client.new(run_s=1.0) for _ in range(4)]
+    works += [client.new(run_s=1.0, tasks=4, is_job=True) for _ in range(4)]
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        futures = [pool.submit(client.submit, w, entry=0) for w in works]
+        wait_started(system, works)
+        system.kill(system.entries()[0])
+        for future in futures:
+            assert future.result().outcome == traffic.LOST
+    outcomes = {client.settle(work).outcome for work in works}
+    assert outcomes == {traffic.COMPLETE}
+    oracle.check(client)
+
+
+def test_kill_of_the_agent_of_a_worker(system, client):
+    """Guards against a second start by a replaced keeper."""
+    agent = min(
+        system.agents("worker"), key=lambda n: len(system.shards_of(n))
+    )
+    works = [client.new(run_s=1.0, tasks=6, is_job=True) for _ in range(6)]
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        futures = submit_later(pool, client, works)
+        wait_started(system, works)
+        system.kill(agent)
+        system.restart(agent)
+        for future in futures:
+            future.result()
+    system.wait(system.is_whole, "the replaced agent")
+    oracle.check(client)
+
+
+def test_paused_coordinator_resumes_after_a_takeover(system, client):
+    """Guards against two owners that start the same id."""
+    owner = system.owner(kind="worker")
+    shards = system.shards_of(owner)
+    works = long_work(client, shards)
+    with concurrent.futures.ThreadPoolExecutor(32) as pool:
+        futures = submit_later(pool, client, works)
+        wait_started(system, works)
+        system.pause(owner)
+        paused_s = time.monotonic()
+        taken_over(system, owner, shards)
+        # The same ids again, and new ones, while there are two owners.
+        futures += submit_later(pool, client, works)
+        for shard in shards:
+            client.complete_one(shard=shard)
+        time.sleep(max(0.0, paused_s + PAUSED_S - time.monotonic()))
+        system.resume(owner)
+        futures += submit_later(pool, client, works)
+        for future in futures:
+            future.result()
+    oracle.check(client)
+
+
+def test_paused_agent_of_a_minion(system, client):
+    """Guards against work that waits on a keeper that stands still.
+
+    The connections of the paused process stay open and silent.
+    """
+    agent = min(
+        system.agents("minion"), key=lambda n: len(system.shards_of(n))
+    )
+    with traffic.Traffic(client):
+        system.pause(agent)
+        time.sleep(PAUSED_S)
+        system.resume(agent)
+        client.complete_one(method=traffic.REPEATABLE)
+    oracle.check(client)
+
+
+def test_replacement_beside_a_process_with_silent_connections(system, client):
+    """Guards against work sent for ever on connections that are silent."""
+    owner = system.owner(kind="minion")
+    shards = system.shards_of(owner)
+    stale = system.processes[owner]
+    with traffic.Traffic(client):
+        system.pause(owner)
+        taken_over(system, owner, shards)
+        for shard in shards:
+            client.complete_one(shard=shard)
+        stale.kill()
+        stale.wait()
+        system.restart(owner)
+        system.wait(system.is_whole, "the replacement")
+    oracle.check(client)
+
+
+@pytest.mark.parametrize("kind", ["entry", "agent"])
+def test_graceful_shutdown_with_work_running(system, client, kind):
+    """Guards against a shutdown that interrupts requests."""
+    name = system.entries()[1] if kind == "entry" else system.owner()
+    entry = 1 if kind == "entry" else None
+    works = [client.new(run_s=0.8) for _ in range(8)]
+    works += [client.new(run_s=0.8, tasks=4, is_job=True) for _ in range(4)]
+    with concurrent.futures.ThreadPoolExecutor(12) as pool:
+        futures = [pool.submit(client.submit, w, entry=entry) for w in works]
+        wait_started(system, works)
+        assert system.terminate(name) == 0
+        outcomes = {future.result().outcome for future in futures}
+    assert outcomes == {traffic.COMPLETE}
+    oracle.check(client)
+
+
+def test_rolling_replacement_under_load(system, client):
+    """Guards against a graceful replacement that loses a request."""
+    with traffic.Traffic(client, threads=4):
+        for name in system.daemon_names():
+            assert system.terminate(name) == 0
+            system.restart(name)
+            system.wait_ready()
+            system.wait(system.is_whole, f"the replacement of {name}")
+    assert set(oracle.check(client)) == {traffic.COMPLETE}
--- /dev/null
+++ b/testing/fleet/traffic.py
@@ -0,0 +1,231 @@
+"""A bounded client that submits work with ids of its own."""
+
+import collections.abc
+import concurrent.futures
+import dataclasses
+import http.client
+import random
+import threading
+import time
+import typing
+
+from _jasminewind import ids
+from _jasminewind.experiment import fleets
+from testing.fleet import system as systems
+
+SUBMIT_JOB = "jasminewind.v1.JobService/SubmitJob"
+CALL = "jasminewind.v1.RequestService/Call"
+SERVICE = "hutch-orders"
+# Example configuration: "quote" is repeatable, "cut-list" is not.
+REPEATABLE = "quote"
+ONCE = "cut-list"
+LOST = "LOST"
+COMPLETE = "COMPLETE"
+DEADLINE_S = 30.0
+PAUSE_S = 0.05
+MAX_SENDS = 40
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Work:
+    """A submission as the client means it."""
+
+    work_id: str
+    method: str
+    tasks: int
+    is_job: bool
+    run_s: float
+    deadline_s: float
+
+    def remote(self) -> str:
+        """Return the remote method that submits it."""
+        return SUBMIT_JOB if self.is_job else CALL
+
+    def tag(self, index: int) -> str:
+        """Return what the output of a task must echo."""
+        return f"{self.work_id}/{index}"
+
+    def body(self) -> dict[str, typing.Any]:
+        """Return the message that submits it."""
+        common = {
+            "id": self.work_id,
+            "team": "crew-desk",
+            "deadlineS": self.deadline_s,
+        }
+        tasks = [
+            {
+                "service": SERVICE,
+                "method": self.method,
+                "payload": {"run_s": self.run_s, "tag": self.tag(index)},
+                "expectedS": self.run_s,
+            }
+            for index in range(self.tasks)
+        ]
+        if not self.is_job:
+            return common | tasks[0]
+        for index, task in enumerate(tasks):
+            task["name"] = f"task-{index}"
+            task["demand"] = {"cores": 0.5, "memoryMb": 64}
+        return common | {"tasks": tasks}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reply:
+    """What came back for one copy of a submission; times in wall seconds.
+
+    ``outcome`` is COMPLETE, an outcome of the schema, or LOST when the
+    connection or the balancer broke before an answer.
+    """
+
+    work: Work
+    outcome: str
+    sent_s: float
+    answered_s: float
+    body: dict[str, typing.Any]
+
+
+def send(base: str, work: Work) -> Reply:
+    """Submit one copy and return what came back."""
+    sent_s = time.time()
+    outcome, body = LOST, {}
+    try:
+        reply = fleets.call(
+            base, work.remote(), work.body(), timeout_s=systems.SAFETY_S
+        )
+    except (OSError, ValueError, http.client.HTTPException) as e:
+        body = {"error": repr(e)}
+    else:
+        body = reply.body
+        outcome = outcome_of(reply)
+    return Reply(
+        work=work,
+        outcome=outcome,
+        sent_s=sent_s,
+        answered_s=time.time(),
+        body=body,
+    )
+
+
+def outcome_of(reply: fleets.Reply) -> str:
+    """Return the outcome in an answer; the balancer's own is LOST."""
+    if reply.status == 200:
+        return COMPLETE
+    details = reply.body.get("details", [])
+    found = [d["debug"]["outcome"] for d in details if "debug" in d]
+    return found[0] if found else LOST
+
+
+class Client:
+    """Draws submissions from a seed and keeps every reply."""
+
+    def __init__(self, system: systems.System, *, seed: int) -> None:
+        self.system = system
+        self.rng = random.Random(seed)
+        self.lock = threading.Lock()
+        self.replies: list[Reply] = []
+
+    def new(
+        self,
+        *,
+        shard: int | None = None,
+        method: str = ONCE,
+        tasks: int = 1,
+        is_job: bool = False,
+        run_s: float = 0.02,
+        deadline_s: float = DEADLINE_S,
+    ) -> Work:
+        """Return a submission with a new id, on one shard if given."""
+        while True:
+            with self.lock:
+                wall_ms = time.time_ns() // 1_000_000
+                work_id = ids.new(wall_ms=wall_ms, rng=self.rng)
+            found = ids.shard_of(work_id, shard_count=systems.SHARDS)
+            if shard in (None, found):
+                break
+        return Work(
+            work_id=work_id,
+            method=method,
+            tasks=tasks,
+            is_job=is_job,
+            run_s=run_s,
+            deadline_s=deadline_s,
+        )
+
+    def submit(self, work: Work, *, entry: int | None = None) -> Reply:
+        """Submit one copy through the balancer or one entry."""
+        layout = self.system.layout
+        base = layout.url() if entry is None else layout.entry_url(entry)
+        reply = send(base, work)
+        with self.lock:
+            self.replies.append(reply)
+        return reply
+
+    def settle(self, work: Work) -> Reply:
+        """Submit until an answer comes; the id stays the same.
+
+        A caller whose answer was lost sends the same id again.
+        """
+        for _ in range(MAX_SENDS):
+            reply = self.submit(work)
+            if reply.outcome != LOST:
+                return reply
+            time.sleep(PAUSE_S)
+        raise AssertionError(f"no answer after {MAX_SENDS} sends: {reply}")
+
+    def complete_one(self, **wanted: typing.Any) -> Reply:
+        """Submit new work until one piece of it completes."""
+        until_s = time.monotonic() + systems.SAFETY_S
+        while time.monotonic() < until_s:
+            reply = self.settle(self.new(**wanted))
+            if reply.outcome == COMPLETE:
+                return reply
+            time.sleep(PAUSE_S)
+        raise AssertionError(f"nothing completes: {reply}")
+
+    def draw(self) -> Work:
+        """Return a submission of a drawn kind."""
+        with self.lock:
+            is_job = self.rng.random() < 0.4
+            method = ONCE if self.rng.random() < 0.5 else REPEATABLE
+            tasks = self.rng.randint(2, 6) if is_job else 1
+            run_s = self.rng.choice((0.01, 0.03, 0.1))
+        return self.new(method=method, tasks=tasks, is_job=is_job, run_s=run_s)
+
+
+class Traffic:
+    """Threads that submit until they are told to stop."""
+
+    def __init__(
+        self,
+        client: Client,
+        *,
+        threads: int = 6,
+        draw: collections.abc.Callable[[], Work] | None = None,
+    ) -> None:
+        self.client = client
+        self.draw = draw or client.draw
+        self.ending = threading.Event()
+        self.pool = concurrent.futures.ThreadPoolExecutor(threads)
+        self.running = [self.pool.submit(self.run) for _ in range(threads)]
+
+    def __enter__(self) -> "Traffic":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.ending.set()
+        self.pool.shutdown()
+        if exc_info[0] is None:
+            for future in self.running:
+                future.result()
+
+    def run(self) -> None:
+        """Submit one piece after another, some of them twice."""
+        count = 0
+        while not self.ending.is_set():
+            work = self.draw()
+            self.client.settle(work)
+            count += 1
+            if count % 5 == 0:
+                entries = len(self.client.system.layout.entries)
+                self.client.submit(work, entry=count // 5 % entries)
+            self.ending.wait(PAUSE_S)
