Refuse an id as not run only when its owner has not seen it

Cause: the rolling replacement test showed a newly started entry that answered NOT_RUN for an id that had run, because a status question without a known owner was answered as 'unknown' without saying that nothing is proved; coordinators also denied ids of intervals they never held. Refusals of the relay itself (quota, freshness, size) of caller-chosen ids did not ask at all. Change: a question without a reply says that the id may have run, only the holder of an id's interval denies it, and the relay asks the owner before it refuses a caller-chosen id. An entry that shuts down refused calls which the balancer sent before its next health check; it now takes them until the balancer has left it.

--- a/src/_jasminewind/api/backend.py
+++ b/src/_jasminewind/api/backend.py
@@ -15,10 +15,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Readiness:
-    """Whether the entry takes work; ``reason`` says why not."""
+    """Whether the balancer may use the entry; ``reason`` says why not.
+
+    An entry that is shutting down is not ready but still ``takes_work``,
+    because the balancer sends calls until its next health check.
+    """
 
     ready: bool
     reason: str = ""
+    takes_work: bool = False
 
 
 ProposeResult = result.Result[changes.ConfigAccepted, changes.ConfigRefusal]
--- a/src/_jasminewind/decisions/coordinator.py
+++ b/src/_jasminewind/decisions/coordinator.py
@@ -438,7 +438,6 @@
         now: core.Instant,
     ) -> core.Actions:
         """Tell the state of a submission."""
-        del now
         record = self.ledger.find(message.work_id)
         run = self.dispatcher.runs.get(message.work_id)
         state = work.WorkState.UNKNOWN
@@ -466,9 +465,25 @@
             tasks_total=total,
             tasks_done=done,
             answer=answer,
+            may_have_run=(
+                state is work.WorkState.UNKNOWN
+                and not self.can_deny(message.work_id, now)
+            ),
         )
         return [self.reply(sender, status)]
 
+    def can_deny(self, work_id: str, now: core.Instant) -> bool:
+        """Tell whether an id unknown here is known to have never run.
+
+        Only the holder of the id's interval knows that; ids of other
+        intervals may have run with a process that is gone.
+        """
+        verdict = self.ownership.judge(work_id, now)
+        return verdict.kind in (
+            verdicts.VerdictKind.ACCEPT,
+            verdicts.VerdictKind.AHEAD,
+        )
+
     # Keepers
 
     def on_refused(
--- a/src/_jasminewind/decisions/relay.py
+++ b/src/_jasminewind/decisions/relay.py
@@ -25,6 +25,9 @@
 # A copy that neither failed nor was redirected for this long has arrived.
 ARRIVED_AFTER_S = 2.0
 QUESTION_TIMEOUT_S = 5.0
+# A refusal should reach the caller within 50 ms, also when the owner of its
+# id does not answer; the tick adds up to 0.1 s then.
+REFUSAL_ASK_S = 0.04
 NEW_ID_ATTEMPTS = 8
 SKEW_LIMIT_MS = 60_000
 
@@ -79,12 +82,18 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Question:
-    """A status or explain request without a reply."""
+    """A status or explain request without a reply.
+
+    ``refusal`` is that of a submission whose id its caller chose. It is
+    given as not run only if the owner of the id has not seen the id,
+    because another entry may have accepted an earlier copy.
+    """
 
     ticket: int
     work_id: str
     expires_s: float
     explain: bool
+    refusal: errors.WorkError | None = None
 
 
 class Relay(core.Decision):
@@ -183,8 +192,17 @@
             self.by_ticket[ticket] = submit.work_id
             return []
         refusal = self._refusal(submit, now)
+        # No owner ever accepts an id that is refused as such.
+        is_lasting = (
+            refusal is not None
+            and refusal.code is errors.Code.INVALID_ARGUMENT
+        )
+        if refusal is not None and (entry_made or is_lasting):
+            return [self._refuse(ticket, submit.work_id, refusal)]
         if refusal is not None:
-            return [self._refuse(ticket, submit, refusal)]
+            return self._ask(
+                ticket, submit.work_id, now, explain=False, refusal=refusal
+            )
         pending = Pending(
             submit=submit,
             entry_made=entry_made,
@@ -562,10 +580,10 @@
         return None
 
     def _refuse(
-        self, ticket: int, submit: work.Submit, error: errors.WorkError
+        self, ticket: int, work_id: str, error: errors.WorkError
     ) -> core.Action:
         answer = work.Answer(
-            work_id=submit.work_id,
+            work_id=work_id,
             state=work.WorkState.FAILED,
             error=error,
         )
@@ -574,15 +592,23 @@
     # Questions about work
 
     def _ask(
-        self, ticket: int, work_id: str, now: core.Instant, *, explain: bool
+        self,
+        ticket: int,
+        work_id: str,
+        now: core.Instant,
+        *,
+        explain: bool,
+        refusal: errors.WorkError | None = None,
     ) -> core.Actions:
         query_id = self.next_query_id
         self.next_query_id += 1
         question = Question(
             ticket=ticket,
             work_id=work_id,
-            expires_s=now.mono_s + QUESTION_TIMEOUT_S,
+            expires_s=now.mono_s
+            + (QUESTION_TIMEOUT_S if refusal is None else REFUSAL_ASK_S),
             explain=explain,
+            refusal=refusal,
         )
         owner = self.directory.owner_of(work_id)
         if owner is None or len(self.questions) >= MAX_QUESTIONS:
@@ -603,7 +629,7 @@
         if question.work_id != message.work_id:
             return []
         del self.questions[message.query_id]
-        return [core.Deliver(ticket=question.ticket, message=message)]
+        return [self._deliver(question, message)]
 
     def _no_reply(self, query_id: int, question: Question) -> core.Action:
         message: work.WorkStatus | work.ExplainReply
@@ -616,8 +642,32 @@
                 work_id=question.work_id,
                 query_id=query_id,
                 state=work.WorkState.UNKNOWN,
+                may_have_run=True,
+            )
+        return self._deliver(question, message)
+
+    def _deliver(
+        self,
+        question: Question,
+        message: work.WorkStatus | work.ExplainReply,
+    ) -> core.Action:
+        """Deliver a reply, or the refusal that waited for it."""
+        refusal = question.refusal
+        if refusal is None or not isinstance(message, work.WorkStatus):
+            return core.Deliver(ticket=question.ticket, message=message)
+        if message.answer is not None:
+            return core.Deliver(ticket=question.ticket, message=message.answer)
+        is_known = message.state is not work.WorkState.UNKNOWN
+        if is_known or message.may_have_run:
+            refusal = dataclasses.replace(
+                refusal,
+                outcome=errors.Outcome.MAY_HAVE_RUN,
+                reason=(
+                    f"{refusal.reason}; an earlier submission with this id "
+                    "cannot be ruled out, query the id later"
+                ),
             )
-        return core.Deliver(ticket=question.ticket, message=message)
+        return self._refuse(question.ticket, question.work_id, refusal)
 
     # Records
 
--- a/src/_jasminewind/nodes/entry.py
+++ b/src/_jasminewind/nodes/entry.py
@@ -175,12 +175,14 @@
     def is_ready(self) -> backend.Readiness:
         """Tell whether the entry is fresh and not shutting down."""
         reason = ""
-        if self.is_leaving:
-            reason = "it is shutting down"
-        elif self.config().version == 0:
+        if self.config().version == 0:
             reason = "it has no configuration yet"
         elif not self.config_sync.is_fresh(self.timers.now()):
             reason = "neither the table nor other entries answer it"
+        elif self.is_leaving:
+            return backend.Readiness(
+                ready=False, reason="it is shutting down", takes_work=True
+            )
         return backend.Readiness(ready=not reason, reason=reason)
 
     def now(self) -> core.Instant:
@@ -190,7 +192,7 @@
     # Life cycle.
 
     def begin_shutdown(self) -> None:
-        """Take no new work."""
+        """Fail the balancer's health check, so that no more work comes."""
         self.is_leaving = True
 
     def is_idle(self) -> bool:
--- a/testing/decisions/test_coordinator.py
+++ b/testing/decisions/test_coordinator.py
@@ -223,3 +223,23 @@
     harness.give(keeper.node, keeper.results(key))
     assert harness.sent[-1].message == tasks.ResultsAck(keys=(key,))
     assert harness.sent[-1].to == keeper.node
+
+
+@pytest.mark.parametrize(
+    "kind, may_have_run",
+    [
+        (verdicts.VerdictKind.ACCEPT, False),
+        (verdicts.VerdictKind.AHEAD, False),
+        (verdicts.VerdictKind.EARLIER, True),
+        (verdicts.VerdictKind.NOT_OWNER, True),
+        (verdicts.VerdictKind.UNKNOWN, True),
+    ],
+)
+def test_only_the_holder_of_an_id_can_deny_it(harness, kind, may_have_run):
+    """Guards against "not run" for an id of a process that is gone."""
+    harness.ownership.kind = kind
+    query = work.QueryWork(work_id=harness.new_id(), query_id=5)
+    harness.give(conftest.ENTRY, query)
+    status = harness.sent[-1].message
+    assert status.state is work.WorkState.UNKNOWN
+    assert status.may_have_run is may_have_run
--- /dev/null
+++ b/testing/fleet/test_changes.py
@@ -0,0 +1,109 @@
+"""Operators' changes under way while processes fail."""
+
+import concurrent.futures
+import time
+
+from _jasminewind.experiment import fleets
+from testing.fleet import oracle
+from testing.fleet import traffic
+
+CONFIG = "jasminewind.v1.ConfigService"
+# "A few seconds" of the invariant on endpoints that leave.
+DRAIN_S = 4.0
+
+
+def version_of(system, index):
+    """Return the version of the configuration at an entry."""
+    reply = fleets.call(
+        system.layout.entry_url(index), f"{CONFIG}/GetConfig", {}
+    )
+    return int(reply.body["config"]["version"])
+
+
+def config_of(system, index):
+    """Return the configuration at an entry."""
+    url = system.layout.entry_url(index)
+    return fleets.call(url, f"{CONFIG}/GetConfig", {}).body["config"]
+
+
+def propose(system, index, change_id, version, **operation):
+    """Propose a change through one entry."""
+    body = {
+        "changeId": change_id,
+        "expectedVersion": version,
+        "author": f"operator-{index}",
+        **operation,
+    }
+    url = system.layout.entry_url(index)
+    return fleets.call(url, f"{CONFIG}/ProposeChange", body)
+
+
+def in_force(system, version):
+    """Tell whether every entry and agent has at least ``version``."""
+    entries = range(len(system.layout.entries))
+    if any(version_of(system, index) < version for index in entries):
+        return False
+    agents = [system.agent_status(name) for name in system.agents()]
+    return all(agent["config_version"] >= version for agent in agents)
+
+
+def test_racing_changes_through_two_entries(system):
+    """Guards against two winners, and a change that is lost or reverts."""
+    base = version_of(system, 0)
+
+    def team(index):
+        return {"setTeam": {"name": f"racer-{index}", "maxInFlight": 10}}
+
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        futures = [
+            pool.submit(
+                propose, system, i, f"race-{base}-{i}", base, **team(i)
+            )
+            for i in range(2)
+        ]
+        replies = [future.result() for future in futures]
+    assert sorted(r.status == 200 for r in replies) == [False, True]
+    winner = 0 if replies[0].status == 200 else 1
+    lost = replies[1 - winner].body
+    details = [d["debug"] for d in lost["details"]]
+    seen = [d["changeId"] for d in details if "changeId" in d]
+    assert seen == [f"race-{base}-{winner}"], lost
+    system.wait(lambda: in_force(system, base + 1), "the change everywhere")
+    name = system.entries()[winner]
+    system.kill(name)
+    system.restart(name)
+    system.wait_ready()
+    for index in range(len(system.layout.entries)):
+        config = config_of(system, index)
+        names = [team["name"] for team in config["teams"]]
+        assert int(config["version"]) == base + 1
+        assert f"racer-{winner}" in names
+        assert f"racer-{1 - winner}" not in names
+
+
+def test_drain_by_a_change(system, client):
+    """Guards against work for an endpoint that is leaving."""
+    drained = [system.layout.minions[0].name, system.layout.workers[0].name]
+    with traffic.Traffic(client):
+        for name in drained:
+            base = version_of(system, 0)
+            reply = propose(system, 0, f"drain-{name}", base, drain=name)
+            assert reply.status == 200, reply.body
+        time.sleep(DRAIN_S)
+        known = counts(system)
+        for _ in range(10):
+            client.complete_one()
+            client.complete_one(tasks=6, is_job=True)
+        assert counts(system) == known
+    for name in drained:
+        base = version_of(system, 0)
+        reply = propose(system, 0, f"undrain-{name}", base, undrain=name)
+        assert reply.status == 200, reply.body
+    oracle.check(client)
+
+
+def counts(system):
+    """Return the number of starts at each drained endpoint."""
+    drained = [system.layout.minions[0].name, system.layout.workers[0].name]
+    starts = [start["endpoint"] for start in system.starts()]
+    return [starts.count(name) for name in drained]
--- /dev/null
+++ b/testing/fleet/test_endpoints.py
@@ -0,0 +1,96 @@
+"""Workers and minions that fail, stand still or fall silent."""
+
+import concurrent.futures
+
+from _jasminewind.experiment import fleets
+from _jasminewind.platform import protocol
+from testing.fleet import oracle
+from testing.fleet import traffic
+
+# Far longer than a test, so that only a cancellation ends it.
+ENDLESS_S = 300.0
+
+
+def test_minion_that_fails_everything_fast(system, client):
+    """Guards against a fast failing minion that attracts all work."""
+    bad = system.layout.minions[0].name
+    system.fault(bad, fail=True)
+    with traffic.Traffic(client):
+        replies = [
+            client.complete_one(method=traffic.REPEATABLE) for _ in range(40)
+        ]
+    assert all(r.body["endpoint"] != bad for r in replies)
+    oracle.check(client)
+
+
+def test_worker_that_drops_start_answers(system, client):
+    """Guards against a second start when the answer of one is lost."""
+    for worker in system.layout.workers[:2]:
+        system.fault(
+            worker.name, drop_answer=True, paths=[protocol.START_PATH]
+        )
+    with traffic.Traffic(client):
+        for _ in range(5):
+            client.complete_one(tasks=6, is_job=True)
+    oracle.check(client)
+
+
+def test_frozen_minion(system, client):
+    """Guards against work that has no answer when a minion hangs."""
+    frozen = system.layout.minions[1].name
+    system.fault(frozen, freeze=True, paths=[protocol.CALL_PATH])
+
+    def draw():
+        return client.new(deadline_s=2.0)
+
+    with traffic.Traffic(client, draw=draw):
+        for _ in range(10):
+            client.complete_one(deadline_s=2.0)
+    system.fault(frozen)
+    oracle.check(client)
+
+
+def test_minion_with_silent_connections(system, client):
+    """Guards against calls sent for ever on connections that are silent."""
+    for minion in system.layout.minions:
+        system.fault(minion.name, freeze_open=True)
+
+    def draw():
+        return client.new(deadline_s=2.0)
+
+    with traffic.Traffic(client, draw=draw):
+        for _ in range(20):
+            client.complete_one(deadline_s=2.0)
+    oracle.check(client)
+
+
+def test_wave_of_cancellations_frees_slots(system, client):
+    """Guards against slots that stay taken by work nobody waits for."""
+    slots = sum(minion.slots for minion in system.layout.minions)
+    works = [
+        client.new(run_s=ENDLESS_S, deadline_s=ENDLESS_S) for _ in range(slots)
+    ]
+    with concurrent.futures.ThreadPoolExecutor(slots) as pool:
+        futures = [pool.submit(client.submit, work) for work in works]
+        system.wait(lambda: system.running() > 0, "work that runs")
+        for work in works:
+            body = {"id": work.work_id}
+            method = "jasminewind.v1.RequestService/Cancel"
+            reply = fleets.call(system.layout.url(), method, body)
+            assert reply.status == 200
+        for future in futures:
+            assert future.result().outcome != traffic.COMPLETE
+    system.wait(lambda: system.running() == 0, "the end of canceled work")
+    for _ in range(slots):
+        assert client.settle(client.new()).outcome == traffic.COMPLETE
+    oracle.check(client)
+
+
+def test_job_that_can_never_run_is_refused(system, client):
+    """Guards against a job that waits for a worker that does not exist."""
+    work = client.new(tasks=2, is_job=True, deadline_s=ENDLESS_S)
+    body = work.body()
+    body["tasks"][1]["demand"] = {"cores": 10_000}
+    reply = fleets.call(system.layout.url(), traffic.SUBMIT_JOB, body)
+    assert traffic.outcome_of(reply) == "NOT_RUN", reply.body
+    assert system.started(work.work_id) == 0
--- /dev/null
+++ b/testing/fleet/test_table.py
@@ -0,0 +1,84 @@
+"""The platform's table, down, slow, or silent about its writes."""
+
+import concurrent.futures
+import time
+
+from _jasminewind.platform import protocol
+from testing.fleet import oracle
+from testing.fleet import traffic
+
+# Longer than the 2 s after which an entry without the table must have the
+# confirmation of other entries, and the 3 s of a coordinator.
+OUTAGE_S = 6.0
+# Callers who wait longer get the answer of the owner after the outage.
+REFUSED_S = 1.0
+
+
+def test_service_continues_while_the_table_is_down(system, client):
+    """Guards against a platform outage that stops the service."""
+    with traffic.Traffic(client):
+        system.table_fault(down=True)
+        down_s = time.time()
+        time.sleep(OUTAGE_S)
+        late = [client.complete_one(shard=s) for s in range(8)]
+        back_s = time.time()
+        system.table_fault()
+        client.complete_one()
+    assert all(down_s < reply.sent_s < back_s for reply in late)
+    oracle.check(client)
+
+
+def test_coordinator_killed_while_the_table_is_down(system, client):
+    """Guards against a takeover without the table, or a total stop.
+
+    The shards of the dead owner are refused, the others serve, and all
+    serve once the table is back.
+    """
+    owner = system.owner()
+    lost = system.shards_of(owner)
+    others = [shard for shard in range(8) if shard not in lost]
+    with traffic.Traffic(client):
+        system.table_fault(down=True)
+        time.sleep(OUTAGE_S)
+        system.kill(owner)
+        works = [client.new(shard=s, deadline_s=REFUSED_S) for s in lost]
+        with concurrent.futures.ThreadPoolExecutor(len(works)) as pool:
+            refused = list(pool.map(client.settle, works))
+        for shard in others:
+            client.complete_one(shard=shard)
+        system.table_fault()
+        for shard in lost:
+            client.complete_one(shard=shard)
+    assert all(r.outcome != traffic.COMPLETE for r in refused)
+    oracle.check(client)
+
+
+def test_lost_answers_of_table_writes(system, client):
+    """Guards against an owner that misjudges a write it cannot see.
+
+    A takeover and the replacement of successors happen meanwhile.
+    """
+    owner = system.owner()
+    shards = system.shards_of(owner)
+    with traffic.Traffic(client):
+        system.table_fault(drop_answer=True, paths=[protocol.TABLE_WRITE_PATH])
+        system.kill(owner)
+        for shard in shards:
+            client.complete_one(shard=shard)
+        system.table_fault()
+    oracle.check(client)
+
+
+def test_slow_table(system, client):
+    """Guards against a table whose latency stops owners and takeovers."""
+    owner = system.owner()
+    shards = system.shards_of(owner)
+    with traffic.Traffic(client):
+        system.table_fault(delay_s=1.0)
+        system.kill(owner)
+        for shard in shards:
+            client.complete_one(shard=shard)
+        for _ in range(5):
+            client.complete_one()
+        system.table_fault()
+    oracle.check(client)
