Pause between attempts to replace a successor in a table outage

Cause: a coordinator was killed while the table was down. Each owner that had it as a successor tried to write its row in every tick, because a write that was not sent made the next one due at once. Change: after a write that was not sent, wait REPLACE_EVERY_S. Conclusion: the replacement still happens once the table is back.

--- a/src/_jasminewind/decisions/tenures.py
+++ b/src/_jasminewind/decisions/tenures.py
@@ -33,6 +33,7 @@
         self.current: dict[int, holdings.Holding] = {}
         self.ended: dict[int, list[holdings.Holding]] = {}
         self.extended_s: dict[int, float] = {}
+        self.write_again_s: dict[int, float] = {}
         self.granted_s: dict[tuple[int, members.NodeId], float] = {}
 
     def held(self, shard: int) -> tuple[holdings.Holding, ...]:
@@ -71,10 +72,15 @@
                 actions += self.extend(shard, now)
             if holding.write is not None:
                 actions += self.retry(holding, now)
-            elif not holding.frozen:
+            elif not holding.frozen and self.may_write(shard, now):
                 actions += self.maintain(holding, now)
         return actions
 
+    def may_write(self, shard: int, now: core.Instant) -> bool:
+        """Tell whether the table has had time since a write not sent."""
+        again_s = self.write_again_s.get(shard)
+        return again_s is None or now.mono_s >= again_s
+
     def extend(self, shard: int, now: core.Instant) -> core.Actions:
         """Ask the successors to promise the normal ceiling."""
         self.extended_s[shard] = now.mono_s
@@ -263,6 +269,7 @@
         )
         if never_sent:
             holding.write = None
+            self.write_again_s[shard] = now.mono_s + REPLACE_EVERY_S
             holding.confirmed_s = max(
                 holding.confirmed_s, now.mono_s - REPLACE_EVERY_S
             )
--- a/testing/decisions/test_ownership.py
+++ b/testing/decisions/test_ownership.py
@@ -202,3 +202,19 @@
     leaving = dataclasses.replace(nodes[1].member, state=members.State.LEAVING)
     chosen = rows.choose_successors(0, owner=nodes[0].member, view=[leaving])
     assert chosen == ()
+
+
+def test_lost_successor_in_an_outage_is_replaced_with_pauses(cell):
+    """Guards against a write and a log line in every tick of an outage."""
+    (owner,) = cell.owners()
+    heir = owner.ownership.rows()[0].successors[0].node
+    cell.table.mode = fakes.TableMode.OUTAGE
+    cell.crash(cell.find(heir))
+    before = len(cell.logged)
+    cell.advance(20.0, step_s=0.1)
+    named = [a for a in cell.logged[before:] if "name succ" in a.reason]
+    assert 1 <= len(named) <= 10
+    cell.table.mode = fakes.TableMode.OK
+    cell.advance(5.0)
+    successors = owner.ownership.rows()[0].successors
+    assert heir not in [each.node for each in successors]
--- a/testing/fleet/system.py
+++ b/testing/fleet/system.py
@@ -8,10 +8,13 @@
 import typing
 import urllib.request
 
+from _jasminewind import shards
+from _jasminewind.decisions import rows
 from _jasminewind.experiment import deployments
 from _jasminewind.experiment import fleets
 from _jasminewind.experiment import layout as layouts
 from _jasminewind.experiment import ports
+from _jasminewind.platform import protocol
 
 EXAMPLES = pathlib.Path(__file__).resolve().parents[2] / "examples"
 SMALL = dataclasses.replace(
@@ -117,6 +120,17 @@
 
     # Ownership.
 
+    def shard_rows(self) -> list[shards.ShardRow]:
+        """Return the rows of all shards in the table."""
+        url = f"http://{ports.HOST}:{self.layout.table.port}"
+        request = urllib.request.Request(
+            f"{url}{protocol.TABLE_READ_PATH}",
+            data=json.dumps({"keys": [], "prefix": "shard/"}).encode(),
+        )
+        with urllib.request.urlopen(request, timeout=SAFETY_S) as response:
+            found = json.load(response)["rows"]
+        return [rows.decode(row["value"]) for row in found]
+
     def shards_of(self, name: str) -> list[int]:
         """Return the shards that an agent owns."""
         return list(self.agent_status(name)["shards"])
