--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -3,6 +3,8 @@
 import hypothesis
 import pytest
 
+from testing import known_red
+
 DEFAULT_FUZZ_EXAMPLES = 25
 
 
@@ -29,6 +31,21 @@
     hypothesis.settings.load_profile("jasminewind")
 
 
+def pytest_collection_modifyitems(items):
+    """Mark the tests that are known to fail."""
+    known_red.mark(items, known_red.read())
+
+
+def pytest_terminal_summary(terminalreporter):
+    """Print every test that is known to fail."""
+    entries = known_red.read()
+    if not entries:
+        return
+    terminalreporter.section("known to fail (KNOWN-RED.txt)")
+    for entry in entries:
+        terminalreporter.write_line(f"{entry.test}: {entry.reason}")
+
+
 @pytest.fixture
 def fuzz_settings(request):
     """Return the hypothesis settings of a stateful fuzzing test."""
