Add demand, load generator, ideal schedule, oracle and rig

Change: experiment/ gains a seeded demand, an open-loop generator, the ideal schedule, an oracle and measures; links count the messages they send by type, and agents and entries show the counts in /v1/status.

--- /dev/null
+++ b/src/_jasminewind/experiment/demand.py
@@ -0,0 +1,277 @@
+"""Seeded demand of the two deployments: requests and jobs over time."""
+
+import collections.abc
+import dataclasses
+import math
+import random
+
+from _jasminewind import ids
+from _jasminewind.messages import work
+
+# Demand changes its level this often.
+SWING_PERIOD_S = 0.5
+SWINGS = (0.5, 1.0, 1.5)
+MAX_JOB_TASKS = 110
+MEAN_JOB_TASKS = 10
+# Work below this run time is short, in seconds.
+SHORT_S = 1.0
+# A caller waits at least this long, and this many run times.
+MIN_DEADLINE_S = 2.0
+DEADLINE_FACTOR = 4.0
+JOB_DEADLINE_S = 30.0
+# Declared run times are off by up to this factor in both directions.
+DECLARED_ERROR = 5.0
+SHARE_UNDECLARED = 0.2
+SHARE_EXACT = 0.2
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Kind:
+    """One kind of task: its method, its share and its run times.
+
+    Run times are in seconds at speed 1, drawn between ``shortest_s`` and
+    ``longest_s`` with equal chance for each order of magnitude.
+    """
+
+    method: str
+    share: float
+    shortest_s: float
+    longest_s: float
+
+    def mean_s(self) -> float:
+        """Return the mean run time."""
+        ratio = self.longest_s / self.shortest_s
+        return (self.longest_s - self.shortest_s) / math.log(ratio)
+
+    def draw_s(self, rng: random.Random) -> float:
+        """Return a run time."""
+        ratio = self.longest_s / self.shortest_s
+        return self.shortest_s * ratio ** rng.random()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Profile:
+    """What the callers of one deployment submit."""
+
+    service: str
+    teams: tuple[str, ...]
+    kinds: tuple[Kind, ...]
+
+    def mean_s(self) -> float:
+        """Return the mean run time of a task."""
+        return sum(kind.share * kind.mean_s() for kind in self.kinds)
+
+    def short_only(self) -> "Profile":
+        """Return the same callers without work above a second."""
+        short = tuple(k for k in self.kinds if k.longest_s <= SHORT_S)
+        total = sum(kind.share for kind in short)
+        return dataclasses.replace(
+            self,
+            kinds=tuple(
+                dataclasses.replace(k, share=k.share / total) for k in short
+            ),
+        )
+
+    def long_only(self) -> "Profile":
+        """Return only the longest kind of work."""
+        longest = max(self.kinds, key=lambda kind: kind.longest_s)
+        return dataclasses.replace(
+            self, kinds=(dataclasses.replace(longest, share=1.0),)
+        )
+
+
+KARRI_CREEK = Profile(
+    service="hutch-orders",
+    teams=("crew-desk", "web-shop", "planning-office"),
+    kinds=(
+        Kind(method="stock-check", share=0.5, shortest_s=0.05, longest_s=0.3),
+        Kind(method="quote", share=0.47, shortest_s=0.1, longest_s=1.0),
+        Kind(method="cut-list", share=0.025, shortest_s=2.0, longest_s=4.0),
+        Kind(method="cut-list", share=0.005, shortest_s=5.0, longest_s=8.0),
+    ),
+)
+FEDERATION = Profile(
+    service="ledenloket",
+    teams=("gent-haven", "mechelen", "brugge", "planning-office"),
+    kinds=(
+        Kind(method="check-tariff", share=0.5, shortest_s=0.05, longest_s=0.3),
+        Kind(method="book-pallets", share=0.35, shortest_s=0.1, longest_s=0.6),
+        Kind(
+            method="allocate-stock", share=0.12, shortest_s=0.2, longest_s=1.0
+        ),
+        Kind(
+            method="allocate-stock",
+            share=0.025,
+            shortest_s=2.0,
+            longest_s=4.0,
+        ),
+        Kind(
+            method="allocate-federation",
+            share=0.005,
+            shortest_s=5.0,
+            longest_s=8.0,
+        ),
+    ),
+)
+PROFILES = {"karri-creek": KARRI_CREEK, "federation": FEDERATION}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TaskDemand:
+    """One task: true run time at speed 1, and what the caller declares."""
+
+    name: str
+    method: str
+    run_s: float
+    declared_s: float
+    cores: float
+    memory_mb: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Submission:
+    """A job or a request, ``at_s`` seconds after the start."""
+
+    at_s: float
+    number: int
+    id_bits: int
+    kind: work.WorkKind
+    team: str
+    service: str
+    deadline_s: float
+    tasks: tuple[TaskDemand, ...]
+
+    def work_id(self, wall_ms: int) -> str:
+        """Return the id, if submitted at ``wall_ms``."""
+        return ids.new(wall_ms=wall_ms, rng=random.Random(self.id_bits))
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Level:
+    """Demand for ``length_s`` seconds, in submissions per second."""
+
+    length_s: float
+    requests_per_s: float
+    jobs_per_s: float = 0.0
+    swings: bool = True
+
+
+def generate(
+    profile: Profile,
+    levels: collections.abc.Iterable[Level],
+    *,
+    seed: int,
+    long_until_s: float = math.inf,
+    first_number: int = 0,
+) -> list[Submission]:
+    """Return the submissions of ``levels``, one after the other, by time.
+
+    Work above a second arrives only before ``long_until_s``, which bounds
+    the time until everything has ended.
+    """
+    rng = random.Random(seed)
+    made: list[Submission] = []
+    start_s = 0.0
+    for level in levels:
+        for at_s, kind in arrivals(level, rng):
+            made.append(
+                submission(
+                    profile,
+                    rng=rng,
+                    at_s=start_s + at_s,
+                    kind=kind,
+                    number=first_number + len(made),
+                    is_long_allowed=start_s + at_s < long_until_s,
+                )
+            )
+        start_s += level.length_s
+    return made
+
+
+def arrivals(
+    level: Level, rng: random.Random
+) -> list[tuple[float, work.WorkKind]]:
+    """Return the times of one level, whose mean rate is as stated."""
+    found = []
+    for kind, rate in (
+        (work.WorkKind.REQUEST, level.requests_per_s),
+        (work.WorkKind.JOB, level.jobs_per_s),
+    ):
+        pieces = max(1, round(level.length_s / SWING_PERIOD_S))
+        length_s = level.length_s / pieces
+        factors = [SWINGS[i % len(SWINGS)] for i in range(pieces)]
+        rng.shuffle(factors)
+        mean = sum(factors) / pieces
+        for index, factor in enumerate(factors):
+            swing = factor / mean if level.swings else 1.0
+            at_s = 0.0
+            while rate > 0.0:
+                at_s += rng.expovariate(rate * swing)
+                if at_s >= length_s:
+                    break
+                found.append((index * length_s + at_s, kind))
+    return sorted(found)
+
+
+def submission(
+    profile: Profile,
+    *,
+    rng: random.Random,
+    at_s: float,
+    kind: work.WorkKind,
+    number: int,
+    is_long_allowed: bool,
+) -> Submission:
+    """Return one submission."""
+    count = 1
+    if kind is work.WorkKind.JOB:
+        count = 1 + int(rng.expovariate(1.0 / (MEAN_JOB_TASKS - 1)))
+        count = min(count, MAX_JOB_TASKS)
+    tasks = tuple(
+        task(profile, rng, f"t{index}", is_long_allowed=is_long_allowed)
+        for index in range(count)
+    )
+    deadline_s = JOB_DEADLINE_S
+    if kind is work.WorkKind.REQUEST:
+        deadline_s = max(MIN_DEADLINE_S, DEADLINE_FACTOR * tasks[0].run_s)
+    return Submission(
+        at_s=at_s,
+        number=number,
+        id_bits=rng.getrandbits(64),
+        kind=kind,
+        team=rng.choice(profile.teams),
+        service=profile.service,
+        deadline_s=deadline_s,
+        tasks=tasks,
+    )
+
+
+def task(
+    profile: Profile, rng: random.Random, name: str, *, is_long_allowed: bool
+) -> TaskDemand:
+    """Return one task of a kind drawn by the shares of the profile."""
+    kinds = profile.kinds
+    if not is_long_allowed and kinds[0].longest_s <= SHORT_S:
+        kinds = profile.short_only().kinds
+    weights = [kind.share for kind in kinds]
+    kind = rng.choices(kinds, weights)[0]
+    run_s = round(kind.draw_s(rng), 4)
+    return TaskDemand(
+        name=name,
+        method=kind.method,
+        run_s=run_s,
+        declared_s=declared_s(run_s, rng),
+        cores=rng.choice((0.5, 1.0, 1.0, 2.0)),
+        memory_mb=rng.choice((128.0, 256.0, 512.0)),
+    )
+
+
+def declared_s(run_s: float, rng: random.Random) -> float:
+    """Return what a caller declares, which is often far off or nothing."""
+    draw = rng.random()
+    if draw < SHARE_UNDECLARED:
+        return 0.0
+    if draw < SHARE_UNDECLARED + SHARE_EXACT:
+        return run_s
+    error = DECLARED_ERROR ** rng.uniform(-1.0, 1.0)
+    return round(run_s * error, 4)
--- /dev/null
+++ b/src/_jasminewind/experiment/load.py
@@ -0,0 +1,331 @@
+"""An open-loop load generator that stands for callers and balancer.
+
+It calls the entries in turn, as the platform's balancer does, because a
+balancer in Python would limit the load. A call that was certainly not sent
+goes to the next entry; one whose answer is lost is submitted again with the
+same id, as a client does that believes its job lost.
+"""
+
+import base64
+import collections.abc
+import dataclasses
+import time
+import typing
+
+import msgspec
+from twisted.internet import defer
+
+from _jasminewind import errors
+from _jasminewind import members
+from _jasminewind.api.pb import errors_pb2
+from _jasminewind.experiment import client
+from _jasminewind.experiment import demand
+from _jasminewind.messages import work
+
+JOB_PATH = "/jasminewind.v1.JobService/SubmitJob"
+REQUEST_PATH = "/jasminewind.v1.RequestService/Call"
+# A submission without an answer this long after its deadline is unanswered.
+ANSWER_GRACE_S = 3.0
+RESUBMIT_PAUSE_S = 0.1
+# An entry that refuses connections or is not ready is passed over for this
+# long, as by a balancer's health check.
+AVOID_ENTRY_S = 0.5
+LARGEST_LATENESS_S = 60.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class Record:
+    """What became of one submission; times in seconds since the start.
+
+    ``status`` is the HTTP status, 0 while there is no answer. ``answers``
+    counts final answers. ``outputs`` are those of a complete answer, with
+    ``name``, ``endpoint``, ``run_s`` and the echoed ``number`` of each.
+    """
+
+    submission: demand.Submission
+    work_id: str
+    sent_s: float
+    ended_s: float = 0.0
+    status: int = 0
+    answers: int = 0
+    resubmissions: int = 0
+    outcome: errors.Outcome | None = None
+    code: str = ""
+    reason: str = ""
+    answer_id: str = ""
+    outputs: tuple["Output", ...] = ()
+
+    def response_s(self) -> float:
+        """Return the time from the planned arrival to the answer."""
+        return self.ended_s - self.submission.at_s
+
+    def is_complete(self) -> bool:
+        """Tell whether the whole result arrived."""
+        return self.status == 200
+
+    def is_in_time(self) -> bool:
+        """Tell whether the whole result arrived within the deadline."""
+        return (
+            self.is_complete()
+            and self.response_s() <= self.submission.deadline_s
+        )
+
+    def is_refused(self) -> bool:
+        """Tell whether the answer says that nothing was run."""
+        return self.outcome is errors.Outcome.NOT_RUN
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Output:
+    """Result of one task, and the number that its payload brought back."""
+
+    name: str
+    endpoint: str
+    run_s: float
+    number: int
+    endpoint_inside: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LoadResult:
+    """All records, and how far the generator itself was the limit.
+
+    ``start_wall_s`` is Unix time. ``processor_share`` is the generator's
+    processor time over the time that passed; ``lateness_s`` holds, for
+    each submission, how long after its planned time it was sent.
+    """
+
+    records: list[Record]
+    start_wall_s: float
+    processor_share: float
+    lateness_s: list[float]
+
+
+class Generator:
+    """Submits a list of submissions at their times."""
+
+    def __init__(
+        self,
+        *,
+        reactor: typing.Any,
+        entries: collections.abc.Sequence[members.Address],
+        submissions: collections.abc.Sequence[demand.Submission],
+        seed: int = 0,
+    ) -> None:
+        self.reactor = reactor
+        self.submissions = submissions
+        self.seed = seed
+        self.pools = [
+            client.Pool(reactor=reactor, host=each.host, port=each.port)
+            for each in entries
+        ]
+        self.avoid_until_s = [0.0] * len(self.pools)
+        self.turn = 0
+        self.start_s = 0.0
+        self.start_wall_s = 0.0
+        self.records: list[Record] = []
+        self.open = 0
+        self.position = 0
+        self.done: defer.Deferred[None] = defer.Deferred()
+        self.lateness_s: list[float] = []
+
+    async def run(self) -> LoadResult:
+        """Submit everything and return when all are answered or overdue."""
+        processor_s = time.process_time()
+        self.start_s = self.reactor.seconds()
+        self.start_wall_s = time.time()
+        self.plan()
+        await self.done
+        passed_s = self.seconds()
+        processor_s = time.process_time() - processor_s
+        for pool in self.pools:
+            pool.close()
+        return LoadResult(
+            records=self.records,
+            start_wall_s=self.start_wall_s,
+            processor_share=processor_s / max(passed_s, 1e-9),
+            lateness_s=self.lateness_s,
+        )
+
+    def seconds(self) -> float:
+        """Return the seconds since the start."""
+        return self.reactor.seconds() - self.start_s
+
+    def plan(self) -> None:
+        """Set the timer of the next submission."""
+        if self.position >= len(self.submissions):
+            self.finish_if_done()
+            return
+        wait_s = self.submissions[self.position].at_s - self.seconds()
+        self.reactor.callLater(max(wait_s, 0.0), self.submit_due)
+
+    def submit_due(self) -> None:
+        """Send every submission whose time has come."""
+        while self.position < len(self.submissions):
+            item = self.submissions[self.position]
+            now_s = self.seconds()
+            if item.at_s > now_s:
+                break
+            self.position += 1
+            self.lateness_s.append(now_s - item.at_s)
+            self.submit(item, now_s)
+        self.plan()
+
+    def submit(self, item: demand.Submission, now_s: float) -> None:
+        """Send one submission."""
+        wall_ms = time.time_ns() // 1_000_000
+        record = Record(
+            submission=item, work_id=item.work_id(wall_ms), sent_s=now_s
+        )
+        self.records.append(record)
+        self.open += 1
+        limit_s = item.deadline_s + ANSWER_GRACE_S
+        overdue = self.reactor.callLater(limit_s, self.overdue, record)
+        body = encode(item, record.work_id)
+        self.send(record, body, overdue)
+
+    def send(self, record: Record, body: bytes, overdue: typing.Any) -> None:
+        """Send a submission, or send it again, to the next entry."""
+        if not overdue.active():
+            return
+        index = self.next_entry()
+        is_job = record.submission.kind is work.WorkKind.JOB
+        self.pools[index].call(
+            JOB_PATH if is_job else REQUEST_PATH,
+            body,
+            lambda response: self.answered(
+                record, body, overdue, index, response
+            ),
+        )
+
+    def next_entry(self) -> int:
+        """Return the next entry in turn that is not passed over."""
+        now_s = self.seconds()
+        count = len(self.pools)
+        for _ in range(count):
+            self.turn = (self.turn + 1) % count
+            if self.avoid_until_s[self.turn] <= now_s:
+                break
+        return self.turn
+
+    def answered(
+        self,
+        record: Record,
+        body: bytes,
+        overdue: typing.Any,
+        index: int,
+        response: client.Response,
+    ) -> None:
+        """Take an answer, or submit again when there is none."""
+        if response.status == 0:
+            self.avoid_until_s[index] = self.seconds() + AVOID_ENTRY_S
+            if response.is_sent:
+                record.resubmissions += 1
+            self.reactor.callLater(
+                RESUBMIT_PAUSE_S, self.send, record, body, overdue
+            )
+            return
+        record.answers += 1
+        if not overdue.active():
+            return
+        overdue.cancel()
+        record.ended_s = self.seconds()
+        decode(record, response)
+        self.end_one()
+
+    def overdue(self, record: Record) -> None:
+        """Give a submission up."""
+        record.ended_s = self.seconds()
+        self.end_one()
+
+    def end_one(self) -> None:
+        """Count a submission that is answered or given up."""
+        self.open -= 1
+        self.finish_if_done()
+
+    def finish_if_done(self) -> None:
+        """End the run once nothing is open or still to come."""
+        is_over = self.position >= len(self.submissions)
+        if is_over and self.open == 0 and not self.done.called:
+            self.done.callback(None)
+
+
+def payload(item: demand.Submission, task: demand.TaskDemand) -> object:
+    """Return what the stand-ins read, and a number that they echo."""
+    return {"run_s": task.run_s, "number": item.number}
+
+
+def encode(item: demand.Submission, work_id: str) -> bytes:
+    """Return the body of the remote call."""
+    body: dict[str, typing.Any] = {
+        "id": work_id,
+        "team": item.team,
+        "deadlineS": item.deadline_s,
+    }
+    if item.kind is work.WorkKind.REQUEST:
+        task = item.tasks[0]
+        body["service"] = item.service
+        body["method"] = task.method
+        body["payload"] = payload(item, task)
+        body["expectedS"] = task.declared_s
+        return msgspec.json.encode(body)
+    body["tasks"] = [
+        {
+            "name": task.name,
+            "service": item.service,
+            "method": task.method,
+            "payload": payload(item, task),
+            "demand": {"cores": task.cores, "memoryMb": task.memory_mb},
+            "expectedS": task.declared_s,
+        }
+        for task in item.tasks
+    ]
+    return msgspec.json.encode(body)
+
+
+def decode(record: Record, response: client.Response) -> None:
+    """Write an answer into its record."""
+    record.status = response.status
+    try:
+        body = msgspec.json.decode(response.body)
+    except msgspec.DecodeError:
+        record.reason = "the body is not JSON"
+        return
+    if response.status != 200:
+        decode_error(record, body)
+        return
+    record.answer_id = body.get("id", "")
+    found = body.get("outputs")
+    if found is None:
+        name = record.submission.tasks[0].name
+        found = [{**body, "name": name}]
+    record.outputs = tuple(output(each) for each in found)
+
+
+def output(body: dict[str, typing.Any]) -> Output:
+    """Return one output of an answer."""
+    inside = body.get("payload")
+    echoed = inside if isinstance(inside, dict) else {}
+    echo = echoed.get("echo", {})
+    return Output(
+        name=body.get("name", ""),
+        endpoint=body.get("endpoint", ""),
+        run_s=body.get("runS", 0.0),
+        number=int(echo.get("number", -1)),
+        endpoint_inside=echoed.get("endpoint", ""),
+    )
+
+
+def decode_error(record: Record, body: dict[str, typing.Any]) -> None:
+    """Write the error of an answer into its record."""
+    record.code = body.get("code", "")
+    record.reason = body.get("message", "")
+    for detail in body.get("details", ()):
+        if detail.get("type") != "jasminewind.v1.FailureDetail":
+            continue
+        value = detail["value"]
+        raw = base64.b64decode(value + "=" * (-len(value) % 4))
+        failure = errors_pb2.FailureDetail.FromString(raw)
+        if failure.outcome:
+            name = errors_pb2.Outcome.Name(failure.outcome)
+            record.outcome = errors.Outcome(name)
--- /dev/null
+++ b/src/_jasminewind/experiment/measures.py
@@ -0,0 +1,247 @@
+"""Measures of one trial, computed from its records."""
+
+import collections.abc
+import dataclasses
+import math
+import typing
+
+from hdrh import histogram
+
+from _jasminewind.experiment import demand
+from _jasminewind.experiment import ideal
+from _jasminewind.experiment import load
+from _jasminewind.messages import work
+from _jasminewind.standins import server
+
+LOWEST_MICROSECONDS = 1
+HIGHEST_MICROSECONDS = 600_000_000
+DIGITS = 3
+# Windows of arrivals in which response times are compared, in seconds.
+WINDOW_S = 0.25
+# A window in which more than this share is not answered has not recovered.
+MAX_UNANSWERED_SHARE = 0.05
+# A stretch within this factor of the highest before the step is usual.
+STRETCH_TOLERANCE = 1.1
+# Messages between our processes that carry no progress.
+WASTED_MESSAGES = (
+    "TasksRefused",
+    "QueryTasks",
+    "TaskStatuses",
+    "QueryWork",
+    "WorkStatus",
+    "Redirect",
+)
+
+
+class Latencies:
+    """A histogram of times in seconds."""
+
+    def __init__(self, values_s: collections.abc.Iterable[float] = ()) -> None:
+        self.histogram: typing.Any = histogram.HdrHistogram(
+            LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, DIGITS
+        )
+        for value_s in values_s:
+            self.add(value_s)
+
+    def add(self, value_s: float) -> None:
+        """Record one time."""
+        microseconds = max(LOWEST_MICROSECONDS, round(value_s * 1e6))
+        self.histogram.record_value(min(microseconds, HIGHEST_MICROSECONDS))
+
+    def count(self) -> int:
+        """Return how many times were recorded."""
+        return int(self.histogram.get_total_count())
+
+    def percentile_s(self, percent: float) -> float:
+        """Return a percentile in seconds, NaN without any value."""
+        if not self.count():
+            return math.nan
+        return float(self.histogram.get_value_at_percentile(percent)) / 1e6
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ratios:
+    """Response time over that of the ideal schedule, for requests."""
+
+    mean: float
+    p99: float
+    values: tuple[float, ...]
+
+
+def is_request(record: load.Record) -> bool:
+    """Tell whether a record is of a request."""
+    return record.submission.kind is work.WorkKind.REQUEST
+
+
+def ideal_times(
+    records: collections.abc.Sequence[load.Record],
+    speeds: collections.abc.Sequence[float],
+) -> list[float]:
+    """Return the ideal response time of each request."""
+    arrivals = [
+        ideal.Arrival(
+            at_s=each.submission.at_s, run_s=each.submission.tasks[0].run_s
+        )
+        for each in records
+    ]
+    return ideal.response_times(arrivals, speeds)
+
+
+def ratios(
+    records: collections.abc.Iterable[load.Record],
+    speeds: collections.abc.Sequence[float],
+    *,
+    from_s: float = 0.0,
+) -> Ratios:
+    """Return the ratios of completed requests that arrive after ``from_s``.
+
+    The ideal schedule serves every request, also those before ``from_s``.
+    """
+    requests = [each for each in records if is_request(each)]
+    best_s = ideal_times(requests, speeds)
+    values = [
+        each.response_s() / best
+        for each, best in zip(requests, best_s, strict=True)
+        if each.is_complete() and each.submission.at_s >= from_s
+    ]
+    # A ratio is recorded like a time; the histogram keeps three digits.
+    p99 = Latencies(values).percentile_s(99)
+    mean = sum(values) / len(values) if values else math.nan
+    return Ratios(mean=mean, p99=p99, values=tuple(values))
+
+
+def answered_share(
+    records: collections.abc.Iterable[load.Record], *, from_s: float = 0.0
+) -> float:
+    """Return the share of submissions answered within their deadline."""
+    found = [each for each in records if each.submission.at_s >= from_s]
+    in_time = sum(1 for each in found if each.is_in_time())
+    return in_time / len(found) if found else math.nan
+
+
+def wasted_messages(counts: dict[str, int], *, extra: int) -> int:
+    """Return the messages without progress; ``extra`` counts duplicates."""
+    return extra + sum(counts.get(name, 0) for name in WASTED_MESSAGES)
+
+
+def useful_slot_s(
+    records: collections.abc.Iterable[load.Record],
+    starts: collections.abc.Iterable[server.StartRecord],
+    speeds: dict[str, float],
+    *,
+    begin_s: float,
+    end_s: float,
+    start_wall_s: float,
+) -> float:
+    """Return the work done in a span for requests answered in time.
+
+    It is in slot seconds at speed 1; ``speeds`` is by minion.
+    """
+    in_time = {
+        each.work_id: each.outputs[0].endpoint_inside
+        for each in records
+        if is_request(each) and each.is_in_time()
+    }
+    total = 0.0
+    for start in starts:
+        if in_time.get(start.key.work_id) != start.endpoint:
+            continue
+        began_s = max(start.started_s - start_wall_s, begin_s)
+        ended_s = min(start.ended_s - start_wall_s, end_s)
+        total += max(0.0, ended_s - began_s) * speeds[start.endpoint]
+    return total
+
+
+def refusals(records: collections.abc.Iterable[load.Record]) -> Latencies:
+    """Return the response times of requests refused as not run."""
+    return Latencies(
+        each.response_s()
+        for each in records
+        if is_request(each) and each.is_refused()
+    )
+
+
+def short_p99_s(
+    records: collections.abc.Iterable[load.Record], *, from_s: float = 0.0
+) -> float:
+    """Return the p99 of the response times of completed short requests."""
+    return Latencies(
+        each.response_s()
+        for each in records
+        if is_request(each)
+        and each.is_complete()
+        and each.submission.at_s >= from_s
+        and each.submission.tasks[0].run_s <= demand.SHORT_S
+    ).percentile_s(99)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Window:
+    """Requests that arrived in a span: median stretch and failures.
+
+    The stretch is the response time over the run time at speed 1.
+    """
+
+    begin_s: float
+    stretch: float
+    failed_share: float
+
+
+def windows(records: collections.abc.Iterable[load.Record]) -> list[Window]:
+    """Return the windows of a trial, in order, without empty ones."""
+    by_index: dict[int, list[load.Record]] = {}
+    for each in records:
+        if is_request(each):
+            index = int(each.submission.at_s / WINDOW_S)
+            by_index.setdefault(index, []).append(each)
+    found = []
+    for index in sorted(by_index):
+        inside = by_index[index]
+        stretches = sorted(
+            each.response_s() / each.submission.tasks[0].run_s
+            for each in inside
+            if each.is_complete()
+        )
+        middle = math.inf
+        if stretches:
+            middle = stretches[len(stretches) // 2]
+        found.append(
+            Window(
+                begin_s=index * WINDOW_S,
+                stretch=middle,
+                failed_share=1.0 - len(stretches) / len(inside),
+            )
+        )
+    return found
+
+
+def recovery_s(
+    records: collections.abc.Iterable[load.Record],
+    *,
+    warm_s: float,
+    step_s: float,
+    end_s: float,
+) -> float:
+    """Return the time after the step until windows are as before it.
+
+    The level before is the highest median stretch of a window between
+    ``warm_s`` and ``step_s``. The result is infinite when two usual
+    windows in a row never follow.
+    """
+    found = windows(records)
+    before = [w.stretch for w in found if warm_s <= w.begin_s < step_s]
+    if not before:
+        return math.nan
+    limit = STRETCH_TOLERANCE * max(before)
+    usual_before = False
+    for window in found:
+        if window.begin_s < end_s:
+            continue
+        is_usual = (
+            window.stretch <= limit
+            and window.failed_share <= MAX_UNANSWERED_SHARE
+        )
+        if is_usual and usual_before:
+            return max(0.0, window.begin_s - WINDOW_S - end_s)
+        usual_before = is_usual
+    return math.inf
--- /dev/null
+++ b/src/_jasminewind/experiment/oracle.py
@@ -0,0 +1,123 @@
+"""Checks what callers were told against what the endpoints started."""
+
+import collections
+import collections.abc
+import dataclasses
+
+from _jasminewind.decisions import retries
+from _jasminewind.experiment import load
+from _jasminewind.standins import server
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Violation:
+    """Something that must never happen."""
+
+    rule: str
+    work_id: str
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Verdict:
+    """Outcome of a check. ``extra_starts`` are retries and hedges."""
+
+    violations: tuple[Violation, ...]
+    unanswered: int
+    extra_starts: int
+
+
+def check(
+    records: collections.abc.Iterable[load.Record],
+    starts: collections.abc.Iterable[server.StartRecord],
+    *,
+    repeatable: frozenset[str],
+) -> Verdict:
+    """Check the records of one run; ``repeatable`` names methods."""
+    started = starts_by_work(starts)
+    violations: list[Violation] = []
+    unanswered = 0
+    extra = 0
+    for record in records:
+        found = started.get(record.work_id, {})
+        extra += sum(len(each) - 1 for each in found.values())
+        violations += check_starts(record, found, repeatable)
+        violations += check_answer(record, found)
+        if record.status == 0 and record.answers == 0:
+            unanswered += 1
+    return Verdict(
+        violations=tuple(violations),
+        unanswered=unanswered,
+        extra_starts=extra,
+    )
+
+
+Starts = dict[int, list[server.StartRecord]]
+
+
+def starts_by_work(
+    starts: collections.abc.Iterable[server.StartRecord],
+) -> dict[str, Starts]:
+    """Return the starts by work id and index of the task."""
+    found: dict[str, Starts] = {}
+    for start in starts:
+        by_index = found.setdefault(start.key.work_id, {})
+        by_index.setdefault(start.key.index, []).append(start)
+    return found
+
+
+def check_starts(
+    record: load.Record, found: Starts, repeatable: frozenset[str]
+) -> collections.abc.Iterator[Violation]:
+    """Yield tasks that were started more often than they may be.
+
+    A repeatable request may be retried and hedged, but no attempt starts
+    twice.
+    """
+    for index, starts in found.items():
+        method = record.submission.tasks[index].method
+        limit = retries.MAX_ATTEMPTS if method in repeatable else 1
+        attempts = collections.Counter(each.key.attempt for each in starts)
+        if len(starts) > limit or max(attempts.values()) > 1:
+            places = [(e.endpoint, e.key.attempt) for e in starts]
+            yield Violation(
+                rule="started twice",
+                work_id=record.work_id,
+                detail=f"task {index} of method {method}: {places}",
+            )
+
+
+def check_answer(
+    record: load.Record, found: Starts
+) -> collections.abc.Iterator[Violation]:
+    """Yield what is wrong with an answer."""
+    if record.answers > 1:
+        yield violation(record, "answered twice", str(record.answers))
+    if record.is_refused() and found:
+        yield violation(record, "not run, but started", record.reason)
+    if not record.is_complete():
+        return
+    names = [task.name for task in record.submission.tasks]
+    if [each.name for each in record.outputs] != names:
+        yield violation(
+            record, "partial answer", f"{len(record.outputs)}/{len(names)}"
+        )
+    if record.answer_id != record.work_id:
+        yield violation(record, "answer of another id", record.answer_id)
+    for index, each in enumerate(record.outputs):
+        if each.number != record.submission.number:
+            yield violation(
+                record, "answer of another submission", f"task {index}"
+            )
+        places = [start.endpoint for start in found.get(index, ())]
+        if each.endpoint_inside not in places:
+            yield violation(
+                record,
+                "answer without a start",
+                f"task {index} at {each.endpoint_inside}, started: {places}",
+            )
+
+
+def violation(record: load.Record, rule: str, detail: str) -> Violation:
+    """Return a violation by ``record``."""
+    return Violation(rule=rule, work_id=record.work_id, detail=detail)
--- /dev/null
+++ b/src/_jasminewind/experiment/rig.py
@@ -0,0 +1,242 @@
+"""A fleet of real processes under load, for one policy."""
+
+import collections
+import collections.abc
+import dataclasses
+import json
+import pathlib
+import time
+import typing
+import urllib.request
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import task
+from twisted.internet import threads
+
+from _jasminewind import members
+from _jasminewind import settings
+from _jasminewind.experiment import demand
+from _jasminewind.experiment import deployments
+from _jasminewind.experiment import fleets
+from _jasminewind.experiment import layout as layouts
+from _jasminewind.experiment import load
+from _jasminewind.experiment import oracle
+from _jasminewind.experiment import ports
+from _jasminewind.standins import server
+
+EXAMPLES = pathlib.Path(__file__).resolve().parents[3] / "examples"
+OURS = "expected_completion"
+BASELINES = ("random", "round_robin", "least_outstanding")
+PAUSE_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Trial:
+    """What one run of load gave.
+
+    ``messages`` are those between our processes during the trial, by
+    type; ``unneeded_results`` are results that nobody waited for.
+    """
+
+    records: list[load.Record]
+    starts: list[server.StartRecord]
+    verdict: oracle.Verdict
+    messages: dict[str, int]
+    unneeded_results: int
+    start_wall_s: float
+    generator_share: float
+    lateness_s: list[float]
+
+    def tasks(self) -> int:
+        """Return the number of tasks that were submitted."""
+        return sum(len(each.submission.tasks) for each in self.records)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Counts:
+    """Messages of all processes since their start."""
+
+    messages: collections.Counter[str]
+    unneeded_results: int
+
+
+class Rig:
+    """One deployment with one routing policy."""
+
+    def __init__(
+        self,
+        *,
+        reactor: typing.Any,
+        deployment: deployments.Deployment,
+        policy: str,
+        folder: pathlib.Path,
+        allocator: ports.PortAllocator,
+    ) -> None:
+        self.reactor = reactor
+        self.deployment = deployment
+        self.policy = policy
+        folder.mkdir(parents=True, exist_ok=True)
+        config = json.loads(
+            (EXAMPLES / deployment.name / "config.json").read_text()
+        )
+        config["policy"] |= policy_fields(policy)
+        config_file = folder / "config.json"
+        config_file.write_text(json.dumps(config))
+        self.repeatable = frozenset(
+            method["name"]
+            for service in config["services"]
+            for method in service["methods"]
+            if method.get("repeatable")
+        )
+        self.layout = layouts.build(
+            deployment,
+            config_file=config_file,
+            allocator=allocator,
+            log_level=settings.LogLevel.WARNING,
+        )
+        self.fleet = fleets.Fleet(self.layout, folder=folder)
+
+    async def start(self) -> None:
+        """Start every process and wait until all take work."""
+        await threads.deferToThread(self.fleet.start)
+        await self.wait_ready()
+
+    async def wait_ready(self) -> None:
+        """Wait until every process takes work."""
+        await threads.deferToThread(self.fleet.wait_ready)
+
+    def stop(self) -> None:
+        """End every process."""
+        self.fleet.stop()
+
+    def slot_speeds(self) -> list[float]:
+        """Return the speed of every slot of the minions."""
+        return [
+            minion.speed
+            for minion in self.layout.minions
+            for _ in range(minion.slots)
+        ]
+
+    def minion_speeds(self) -> dict[str, float]:
+        """Return the speed of every minion by name."""
+        return {m.name: m.speed for m in self.layout.minions}
+
+    async def run(
+        self,
+        submissions: collections.abc.Sequence[demand.Submission],
+        *,
+        during: (
+            collections.abc.Callable[[], collections.abc.Awaitable[None]]
+            | None
+        ) = None,
+    ) -> Trial:
+        """Put load on the fleet, and ``during`` beside it."""
+        before = await threads.deferToThread(self.counts)
+        generator = load.Generator(
+            reactor=self.reactor,
+            entries=[
+                members.Address(each.host, each.api_port)
+                for each in self.layout.entries
+            ],
+            submissions=submissions,
+        )
+        running = [defer.ensureDeferred(generator.run())]
+        if during is not None:
+            beside: typing.Any = during()
+            running.append(defer.ensureDeferred(beside))
+        results = await defer.gatherResults(running)
+        result: load.LoadResult = results[0]
+        await self.pause(PAUSE_S)
+        after = await threads.deferToThread(self.counts)
+        wanted = {each.work_id for each in result.records}
+        starts = await threads.deferToThread(self.starts)
+        starts = [each for each in starts if each.key.work_id in wanted]
+        return Trial(
+            records=result.records,
+            starts=starts,
+            verdict=oracle.check(
+                result.records, starts, repeatable=self.repeatable
+            ),
+            messages=dict(after.messages - before.messages),
+            unneeded_results=after.unneeded_results - before.unneeded_results,
+            start_wall_s=result.start_wall_s,
+            generator_share=result.processor_share,
+            lateness_s=result.lateness_s,
+        )
+
+    async def pause(self, delay_s: float) -> None:
+        """Let time pass."""
+        await task.deferLater(self.reactor, delay_s)
+
+    def counts(self) -> Counts:
+        """Return the message counts of every process that answers."""
+        messages: collections.Counter[str] = collections.Counter()
+        unneeded = 0
+        for url in self.status_urls():
+            try:
+                status = fleets.get(url)
+            except OSError:
+                continue
+            messages.update(status["messages"])
+            unneeded += status.get("unneeded_results", 0)
+        return Counts(messages=messages, unneeded_results=unneeded)
+
+    def status_urls(self) -> list[str]:
+        """Return where each process shows its status."""
+        urls = [
+            f"http://{e.host}:{e.api_port}/v1/status"
+            for e in self.layout.entries
+            if e.name in self.fleet.processes
+        ]
+        urls += [
+            f"http://{a.host}:{a.local_port}/v1/status"
+            for a in self.layout.agents
+            if a.name in self.fleet.processes
+        ]
+        return urls
+
+    def starts(self) -> list[server.StartRecord]:
+        """Return every start that the endpoints saw."""
+        found: list[server.StartRecord] = []
+        for endpoint in (*self.layout.minions, *self.layout.workers):
+            url = self.layout.control_url(endpoint.name)
+            with urllib.request.urlopen(
+                url + server.STARTS_PATH, timeout=10
+            ) as response:
+                decoded = msgspec.json.decode(
+                    response.read(), type=server.StartList
+                )
+            found += decoded.starts
+        return found
+
+    def set_faults(self, name: str, **faults: typing.Any) -> None:
+        """Switch the faults of a stand-in; none switches all off."""
+        request = urllib.request.Request(
+            self.layout.control_url(name) + server.FAULTS_PATH,
+            data=json.dumps(faults).encode(),
+            headers={"Content-Type": "application/json"},
+        )
+        with urllib.request.urlopen(request, timeout=5):
+            pass
+
+
+def policy_fields(policy: str) -> dict[str, typing.Any]:
+    """Return the part of the configuration that differs by policy."""
+    is_ours = policy == OURS
+    return {
+        "routing": policy,
+        "shedByDeadline": is_ours,
+        "fairShare": is_ours,
+        "separateLongWork": is_ours,
+    }
+
+
+def load_average() -> float:
+    """Return the load average of the machine over the last minute."""
+    return float(pathlib.Path("/proc/loadavg").read_text().split()[0])
+
+
+def stamp() -> str:
+    """Return the time for a report."""
+    return time.strftime("%Y-%m-%d %H:%M:%S")
--- a/src/_jasminewind/nodes/agent.py
+++ b/src/_jasminewind/nodes/agent.py
@@ -25,7 +25,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AgentStatus:
-    """Counts of an agent. Bytes are those of links since the start."""
+    """Counts of an agent. Bytes are those of links since the start.
+
+    ``messages`` are the messages sent on links since the start, by type.
+    ``unneeded_results`` are results that the coordinator got of attempts
+    that it no longer followed, such as repeated ones.
+    """
 
     node: str
     state: members.State
@@ -37,6 +42,8 @@
     load: members.Load
     bytes_in: int
     bytes_out: int
+    messages: dict[str, int]
+    unneeded_results: int
 
 
 class Agent(node.Node):
@@ -77,6 +84,7 @@
         self.endpoint = endpoint.EndpointTask(node=self, keeper=self.keeper)
         self.shared_view: tuple[members.Member, ...] = ()
         self.is_leaving = False
+        self.unneeded_results = 0
         self.handlers[core.StartOnEndpoint] = self.endpoint.start
         self.handlers[core.OrderOnEndpoint] = self.endpoint.order
         for decision in (
@@ -102,6 +110,11 @@
                 sender, members.NO_ADDRESS, self.explanation(message)
             )
             return
+        if isinstance(message, tasks.TaskResults):
+            known = self.coordinator.dispatcher.attempts
+            self.unneeded_results += sum(
+                1 for each in message.results if each.key not in known
+            )
         super().link_message(sender, message)
 
     def explanation(self, request: work.ExplainRequest) -> work.ExplainReply:
@@ -165,6 +178,8 @@
             load=self.keeper.load(),
             bytes_in=bytes_in,
             bytes_out=bytes_out,
+            messages=self.links.sent_counts(),
+            unneeded_results=self.unneeded_results,
         )
 
     def stop(self) -> None:
--- a/src/_jasminewind/nodes/daemon.py
+++ b/src/_jasminewind/nodes/daemon.py
@@ -98,7 +98,11 @@
             api = server.ApiServer(
                 backend=self.node, clock=self.reactor, rng=self.rng
             )
-            self.listen(self.settings.api_port, api.site(reactor=self.reactor))
+            site = api.site(reactor=self.reactor)
+            site.resource = local.StatusBeside(
+                calls=site.resource, read=self.node.status
+            )
+            self.listen(self.settings.api_port, site)
         else:
             self.listen(
                 self.settings.local_port,
--- a/src/_jasminewind/nodes/entry.py
+++ b/src/_jasminewind/nodes/entry.py
@@ -30,7 +30,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class EntryStatus:
-    """Counts of an entry. Bytes are those of links since the start."""
+    """Counts of an entry. Bytes are those of links since the start.
+
+    ``messages`` are the messages sent on links since the start, by type.
+    """
 
     node: str
     config_version: int
@@ -41,6 +44,7 @@
     in_flight: int
     bytes_in: int
     bytes_out: int
+    messages: dict[str, int]
 
 
 class Entry(node.Node, backend.Backend):
@@ -212,6 +216,7 @@
             in_flight=self.relay.in_flight(),
             bytes_in=bytes_in,
             bytes_out=bytes_out,
+            messages=self.links.sent_counts(),
         )
 
     def stop(self) -> None:
--- a/src/_jasminewind/nodes/local.py
+++ b/src/_jasminewind/nodes/local.py
@@ -73,6 +73,26 @@
         return msgspec.json.encode(self.read())
 
 
+class StatusBeside(resource.Resource):
+    """Serves ``/v1/status`` beside the remote calls of an entry."""
+
+    def __init__(self, *, calls: resource.Resource, read: typing.Any) -> None:
+        super().__init__()
+        self.calls = calls
+        version = resource.Resource()
+        put(version, b"status", Status(read))
+        put(self, b"v1", version)
+
+    # The name is twisted's.
+    def getChild(  # noqa: N802
+        self, path: bytes, request: typing.Any
+    ) -> resource.Resource:
+        """Give every other path to the remote calls, unchanged."""
+        request.prepath.pop()
+        request.postpath.insert(0, path)
+        return self.calls
+
+
 def put(parent: resource.Resource, name: bytes, child: object) -> None:
     """Add ``child``, whose interface twisted declares without types."""
     parent.putChild(name, typing.cast(typing.Any, child))
--- a/src/_jasminewind/wire/links.py
+++ b/src/_jasminewind/wire/links.py
@@ -86,6 +86,7 @@
         self.port: typing.Any = None
         self.closed_bytes_in = 0
         self.closed_bytes_out = 0
+        self.sent: collections.Counter[str] = collections.Counter()
         self.is_stopping = False
         self.checks = timer_service.every(CHECK_PERIOD_S, self._check)
 
@@ -112,12 +113,18 @@
         """
         connection = self._ready_connection(to, address)
         if connection is not None:
-            connection.send(message)
+            self._write(connection, message)
         elif address == members.NO_ADDRESS:
             self._fail_later(to, message)
         else:
             self._wait(to, address, message)
 
+    def _write(
+        self, connection: connections.Connection, message: object
+    ) -> None:
+        self.sent[type(message).__name__] += 1
+        connection.send(message)
+
     def _ready_connection(
         self, to: members.NodeId, address: members.Address
     ) -> connections.Connection | None:
@@ -146,6 +153,10 @@
         sent = sum(c.bytes_out for c in self.open)
         return self.closed_bytes_in + received, self.closed_bytes_out + sent
 
+    def sent_counts(self) -> dict[str, int]:
+        """Return the messages written since the start, by type."""
+        return dict(self.sent)
+
     def stop(self) -> None:
         """Close every link and accept none."""
         self.is_stopping = True
@@ -170,7 +181,7 @@
         for key in (node, address):
             waiting = self.waiting.pop(key, Waiting())
             for message in waiting.messages:
-                connection.send(message)
+                self._write(connection, message)
         expected = connection.expected
         if expected not in (None, members.UNNAMED, node):
             # Another incarnation runs at this address, so that the
