Add the benchmark program

Cause: make bench had no program. Change: bench/run.py runs the phases steady, crest, mix and faults with each policy and writes build/bench.json, build/bench.md and plots.

--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,178 @@
+"""Table, JSON file and plots of the benchmark."""
+
+import collections.abc
+import dataclasses
+import json
+import math
+import pathlib
+import typing
+
+import matplotlib
+
+from bench import scenarios
+from _jasminewind.experiment import rig as rigs
+
+matplotlib.use("Agg")
+
+from matplotlib import pyplot  # noqa: E402
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Target:
+    """A target of the design page, which is never moved."""
+
+    key: str
+    value: float
+    is_upper: bool = True
+
+    def is_met(self, value: float | None) -> bool:
+        """Tell whether ``value`` meets the target."""
+        if value is None or math.isnan(value):
+            return False
+        return value <= self.value if self.is_upper else value >= self.value
+
+
+TARGETS = (
+    Target(key="response_ratio_mean", value=1.25),
+    Target(key="response_ratio_p99", value=2.0),
+    Target(key="wasted_messages_per_task", value=0.10),
+    Target(key="crest_goodput", value=0.95, is_upper=False),
+    Target(key="crest_refusal_p99_ms", value=50.0),
+    Target(key="crest_recovery_s", value=2.0),
+    Target(key="short_p99_with_long_over_without", value=1.2),
+)
+FAULT_TARGETS = (
+    Target(key="violations", value=0.0),
+    Target(key="unanswered", value=0.0),
+)
+
+Outcomes = dict[str, dict[str, scenarios.Outcome]]
+
+
+def as_json(outcomes: Outcomes, conditions: dict[str, typing.Any]) -> str:
+    """Return the JSON file: each key with ours and each baseline."""
+    body: dict[str, typing.Any] = {"conditions": conditions}
+    for deployment, by_policy in outcomes.items():
+        keys: dict[str, typing.Any] = {}
+        for policy, outcome in by_policy.items():
+            name = "ours" if policy == rigs.OURS else policy
+            for key, value in outcome.figures.items():
+                keys.setdefault(key, {})[name] = scenarios.finite(value)
+        for target in TARGETS:
+            entry = keys.setdefault(target.key, {})
+            entry["target"] = target.value
+            entry["met"] = target.is_met(entry.get("ours"))
+        body[deployment] = {
+            "keys": keys,
+            "faults": {p: o.faults for p, o in by_policy.items()},
+            "notes": {p: o.notes for p, o in by_policy.items()},
+        }
+    return json.dumps(body, indent=1, default=str)
+
+
+def table(outcomes: Outcomes) -> str:
+    """Return the table of values and targets."""
+    lines = []
+    for deployment, by_policy in outcomes.items():
+        policies = list(by_policy)
+        lines += ["", f"### {deployment}", ""]
+        lines.append(row(["measure", "target", *policies, "ours"]))
+        lines.append(row(["---"] * (len(policies) + 3)))
+        for target in TARGETS:
+            values = [
+                by_policy[p].figures.get(target.key, math.nan)
+                for p in policies
+            ]
+            lines.append(
+                row(
+                    [
+                        target.key,
+                        limit(target),
+                        *(number(v) for v in values),
+                        verdict(target, values[0]),
+                    ]
+                )
+            )
+        lines += fault_table(by_policy)
+    return "\n".join(lines) + "\n"
+
+
+def fault_table(
+    by_policy: dict[str, scenarios.Outcome],
+) -> collections.abc.Iterator[str]:
+    """Yield the lines of the table of faults."""
+    yield ""
+    yield row(
+        ["fault", "policy", "violations", "unanswered", "goodput", "0 and 0"]
+    )
+    yield row(["---"] * 6)
+    for policy, outcome in by_policy.items():
+        for name, found in outcome.faults.items():
+            is_met = all(t.is_met(found[t.key]) for t in FAULT_TARGETS)
+            yield row(
+                [
+                    name,
+                    policy,
+                    str(found["violations"]),
+                    str(found["unanswered"]),
+                    number(found["goodput"]),
+                    "met" if is_met else "missed",
+                ]
+            )
+
+
+def row(cells: collections.abc.Iterable[str]) -> str:
+    """Return one line of a table."""
+    return "| " + " | ".join(cells) + " |"
+
+
+def limit(target: Target) -> str:
+    """Return a target with its direction."""
+    return f"{'at most' if target.is_upper else 'at least'} {target.value:g}"
+
+
+def number(value: float) -> str:
+    """Return a value with three digits or so."""
+    return "never" if math.isinf(value) else f"{value:.3g}"
+
+
+def verdict(target: Target, value: float) -> str:
+    """Return whether a target is met."""
+    return "met" if target.is_met(value) else "missed"
+
+
+def plot(outcomes: Outcomes, folder: pathlib.Path) -> list[pathlib.Path]:
+    """Write the plots and return their files."""
+    files = []
+    for deployment, by_policy in outcomes.items():
+        path = folder / f"bench-{deployment}.png"
+        figure, axes = pyplot.subplots(1, 3, figsize=(15, 4.5))
+        for policy, outcome in by_policy.items():
+            ratios = outcome.series.get("ratios", [])
+            share = [i / max(1, len(ratios)) for i in range(len(ratios))]
+            axes[0].plot(ratios, share, label=policy)
+            crest = outcome.series.get("crest", [])
+            times = [each[0] for each in crest]
+            axes[1].plot(times, [each[1] for each in crest], label=policy)
+            axes[2].plot(times, [each[2] for each in crest], label=policy)
+        axes[0].set_xlabel("response time over that of the ideal schedule")
+        axes[0].set_ylabel("share of requests")
+        axes[0].set_xscale("log")
+        axes[1].set_xlabel("arrival (s)")
+        axes[1].set_ylabel("median response time over run time")
+        axes[1].set_yscale("log")
+        axes[2].set_xlabel("arrival (s)")
+        axes[2].set_ylabel("share of requests without a result")
+        for axis in axes[1:]:
+            axis.axvspan(
+                scenarios.CREST_BEFORE_S,
+                scenarios.CREST_BEFORE_S + scenarios.CREST_S,
+                alpha=0.1,
+            )
+        axes[0].legend()
+        figure.suptitle(deployment)
+        figure.tight_layout()
+        figure.savefig(path)
+        pyplot.close(figure)
+        files.append(path)
+    return files
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,195 @@
+"""Measures the targets of the design page against real processes.
+
+``make bench`` runs every policy on both deployments with the same seeds
+and the faults with our policy. ``python -m bench.run --all_faults`` also
+runs the faults with every baseline, which takes several minutes more.
+"""
+
+import os
+import pathlib
+import platform
+import sys
+import tempfile
+import time
+import typing
+
+import fire
+from twisted.internet import defer
+from twisted.internet import task
+
+from bench import report
+from bench import scenarios
+from _jasminewind.experiment import deployments
+from _jasminewind.experiment import ports
+from _jasminewind.experiment import rig as rigs
+
+BUILD = pathlib.Path("build")
+SEED = 20260
+PHASES = ("steady", "crest", "mix", "faults")
+
+
+class Benchmark:
+    """All runs of one call of the program."""
+
+    def __init__(
+        self,
+        *,
+        reactor: typing.Any,
+        deployment_names: tuple[str, ...],
+        policies: tuple[str, ...],
+        phases: tuple[str, ...],
+        faults: tuple[str, ...],
+        all_faults: bool,
+        seed: int,
+        folder: pathlib.Path,
+    ) -> None:
+        self.reactor = reactor
+        self.deployment_names = deployment_names
+        self.policies = policies
+        self.phases = phases
+        self.fault_names = faults
+        self.all_faults = all_faults
+        self.seed = seed
+        self.folder = folder
+        self.allocator = ports.PortAllocator()
+        self.outcomes: report.Outcomes = {}
+
+    async def run(self) -> None:
+        """Run the deployments one after the other, policy by policy."""
+        began_s = time.monotonic()
+        conditions = self.conditions()
+        for deployment in deployments.DEPLOYMENTS:
+            if deployment.name not in self.deployment_names:
+                continue
+            by_policy = self.outcomes.setdefault(deployment.name, {})
+            for policy in self.policies:
+                by_policy[policy] = await self.run_one(deployment, policy)
+        conditions["took_s"] = round(time.monotonic() - began_s, 1)
+        conditions["load_average_after"] = rigs.load_average()
+        self.write(conditions)
+
+    def conditions(self) -> dict[str, typing.Any]:
+        """Return what a reader needs to judge the figures."""
+        return {
+            "date": rigs.stamp(),
+            "seed": self.seed,
+            "cores": os.cpu_count(),
+            "python": platform.python_version(),
+            "load_average_before": rigs.load_average(),
+            "loads": {
+                "steady": scenarios.STEADY_LOAD,
+                "crest_base": scenarios.CREST_BASE_LOAD,
+                "crest_factor": scenarios.CREST_FACTOR,
+                "short": scenarios.SHORT_LOAD,
+                "long": scenarios.LONG_LOAD,
+                "fault": scenarios.FAULT_LOAD,
+                "jobs_per_s": scenarios.JOBS_PER_S,
+            },
+        }
+
+    async def run_one(
+        self, deployment: deployments.Deployment, policy: str
+    ) -> scenarios.Outcome:
+        """Run the phases of one deployment and policy."""
+        rig = rigs.Rig(
+            reactor=self.reactor,
+            deployment=deployment,
+            policy=policy,
+            folder=self.folder / deployment.name / policy,
+            allocator=self.allocator,
+        )
+        found = scenarios.Scenarios(rig=rig, seed=self.seed)
+        try:
+            await rig.start()
+            for phase in self.phases:
+                await self.run_phase(found, phase)
+        finally:
+            rig.stop()
+        return found.outcome()
+
+    async def run_phase(self, found: scenarios.Scenarios, phase: str) -> None:
+        """Run one phase and tell of it."""
+        began_s = time.monotonic()
+        is_ours = found.rig.policy == rigs.OURS
+        if phase == "faults":
+            if not (is_ours or self.all_faults):
+                return
+            await found.faults(self.fault_names)
+        else:
+            await getattr(found, phase)()
+        print(
+            f"{found.rig.deployment.name} {found.rig.policy} {phase}: "
+            f"{time.monotonic() - began_s:.0f} s, load average "
+            f"{rigs.load_average()}",
+            file=sys.stderr,
+            flush=True,
+        )
+
+    def write(self, conditions: dict[str, typing.Any]) -> None:
+        """Write the report and print the table."""
+        BUILD.mkdir(exist_ok=True)
+        text = report.as_json(self.outcomes, conditions)
+        (BUILD / "bench.json").write_text(text + "\n")
+        table = report.table(self.outcomes)
+        plots = report.plot(self.outcomes, BUILD)
+        images = "".join(f"\n![{p.stem}]({p.name})\n" for p in plots)
+        lines = [f"- {key}: {value}" for key, value in conditions.items()]
+        (BUILD / "bench.md").write_text(
+            "# Benchmark\n\n" + "\n".join(lines) + "\n" + table + images
+        )
+        print(table)
+        print("\n".join(lines))
+
+
+def names(
+    value: str | tuple[str, ...], known: tuple[str, ...]
+) -> tuple[str, ...]:
+    """Return the names in an option, all known ones if it is empty."""
+    if not value:
+        return known
+    chosen = tuple(value.split(",")) if isinstance(value, str) else value
+    unknown = [each for each in chosen if each not in known]
+    if unknown:
+        sys.exit(f"unknown: {', '.join(unknown)}; known: {', '.join(known)}")
+    return tuple(chosen)
+
+
+def run(
+    *,
+    deployment: str | tuple[str, ...] = "",
+    policy: str | tuple[str, ...] = "",
+    phase: str | tuple[str, ...] = "",
+    fault: str | tuple[str, ...] = "",
+    all_faults: bool = False,
+    seed: int = SEED,
+    folder: str = "",
+) -> None:
+    """Run the benchmark; options limit it to what they name.
+
+    ``folder`` keeps the settings and logs of the processes.
+    """
+    chosen = {
+        "deployment_names": names(
+            deployment, tuple(d.name for d in deployments.DEPLOYMENTS)
+        ),
+        "policies": names(policy, (rigs.OURS, *rigs.BASELINES)),
+        "phases": names(phase, PHASES),
+        "faults": names(fault, scenarios.FAULTS),
+    }
+
+    def begin(reactor: typing.Any, place: str) -> typing.Any:
+        benchmark = Benchmark(
+            reactor=reactor,
+            all_faults=all_faults,
+            seed=seed,
+            folder=pathlib.Path(place),
+            **typing.cast(typing.Any, chosen),
+        )
+        return defer.ensureDeferred(benchmark.run())
+
+    with tempfile.TemporaryDirectory(prefix="jasminewind-bench-") as made:
+        task.react(begin, (folder or made,))
+
+
+if __name__ == "__main__":
+    fire.Fire(run)
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,322 @@
+"""Runs the phases of the benchmark on one fleet."""
+
+import collections.abc
+import dataclasses
+import functools
+import math
+import typing
+
+from twisted.internet import threads
+
+from _jasminewind.experiment import demand
+from _jasminewind.experiment import measures
+from _jasminewind.experiment import rig as rigs
+
+# Shares of the capacity of the minions that the requests of a phase need.
+STEADY_LOAD = 0.6
+CREST_BASE_LOAD = 0.45
+SHORT_LOAD = 0.35
+LONG_LOAD = 0.2
+FAULT_LOAD = 0.4
+CREST_FACTOR = 5.0
+JOBS_PER_S = 5.0
+# The time in which run times and speeds are learned is not measured.
+WARM_S = 2.0
+STEADY_S = 8.0
+CREST_BEFORE_S = 3.0
+CREST_S = 4.0
+CREST_AFTER_S = 5.0
+MIX_S = 5.0
+FAULT_S = 6.0
+FAULT_BEGIN_S = 1.0
+FAULT_END_S = 4.0
+# Long work comes only in the first part of a phase, which bounds its end.
+LONG_SHARE = 0.6
+
+FAULTS = (
+    "kill_coordinator",
+    "kill_entry",
+    "kill_worker_agent",
+    "table_down",
+    "table_answers_lost",
+    "minion_fails_fast",
+    "minion_frozen",
+    "silent_connections",
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Outcome:
+    """Figures of one fleet, and series for plots.
+
+    ``figures`` are by key of the report; ``series`` are lists of points.
+    """
+
+    figures: dict[str, float]
+    faults: dict[str, dict[str, typing.Any]]
+    series: dict[str, list[typing.Any]]
+    notes: dict[str, typing.Any]
+
+
+class Scenarios:
+    """The phases of one deployment and policy, with the same seeds."""
+
+    def __init__(self, *, rig: rigs.Rig, seed: int) -> None:
+        self.rig = rig
+        self.seed = seed
+        self.profile = demand.PROFILES[rig.deployment.name]
+        self.figures: dict[str, float] = {}
+        self.fault_figures: dict[str, dict[str, typing.Any]] = {}
+        self.series: dict[str, list[typing.Any]] = {}
+        self.notes: dict[str, typing.Any] = {}
+
+    def rate(
+        self, share: float, profile: demand.Profile | None = None
+    ) -> float:
+        """Return the requests per second that need a share of capacity."""
+        used = profile or self.profile
+        return share * sum(self.rig.slot_speeds()) / used.mean_s()
+
+    def level(
+        self, length_s: float, share: float, *, jobs_factor: float = 1.0
+    ) -> demand.Level:
+        """Return a level of demand."""
+        return demand.Level(
+            length_s=length_s,
+            requests_per_s=self.rate(share),
+            jobs_per_s=JOBS_PER_S * jobs_factor,
+        )
+
+    def note(self, name: str, trial: rigs.Trial) -> None:
+        """Keep what shows whether a trial can be trusted."""
+        late = measures.Latencies(trial.lateness_s)
+        refusals: dict[str, int] = {}
+        for each in trial.records:
+            if not each.is_complete():
+                key = f"{each.status} {each.outcome}"
+                refusals[key] = refusals.get(key, 0) + 1
+        self.notes[name] = {
+            "submissions": len(trial.records),
+            "tasks": trial.tasks(),
+            "not_complete": refusals,
+            "violations": [
+                dataclasses.asdict(v) for v in trial.verdict.violations[:10]
+            ],
+            "violation_count": len(trial.verdict.violations),
+            "unanswered": trial.verdict.unanswered,
+            "generator_processor_share": round(trial.generator_share, 3),
+            "generator_lateness_p99_ms": late.percentile_s(99) * 1000.0,
+            "messages": trial.messages,
+            "unneeded_results": trial.unneeded_results,
+            "extra_starts": trial.verdict.extra_starts,
+            "load_average": rigs.load_average(),
+        }
+
+    async def steady(self) -> None:
+        """Measure response ratios and messages at usual load."""
+        submissions = demand.generate(
+            self.profile,
+            [self.level(WARM_S + STEADY_S, STEADY_LOAD)],
+            seed=self.seed,
+            long_until_s=WARM_S + STEADY_S * LONG_SHARE,
+        )
+        trial = await self.rig.run(submissions)
+        self.note("steady", trial)
+        speeds = self.rig.slot_speeds()
+        ratios = measures.ratios(trial.records, speeds, from_s=WARM_S)
+        extra = trial.unneeded_results + trial.verdict.extra_starts
+        wasted = measures.wasted_messages(trial.messages, extra=extra)
+        self.figures["response_ratio_mean"] = ratios.mean
+        self.figures["response_ratio_p99"] = ratios.p99
+        self.figures["steady_goodput"] = measures.answered_share(
+            trial.records, from_s=WARM_S
+        )
+        self.figures["wasted_messages_per_task"] = wasted / trial.tasks()
+        self.series["ratios"] = sorted(ratios.values)[
+            :: 1 + len(ratios.values) // 400
+        ]
+
+    async def crest(self) -> None:
+        """Measure a fivefold step of demand."""
+        high = CREST_BASE_LOAD * CREST_FACTOR
+        submissions = demand.generate(
+            self.profile,
+            [
+                self.level(CREST_BEFORE_S, CREST_BASE_LOAD),
+                self.level(CREST_S, high, jobs_factor=CREST_FACTOR),
+                self.level(CREST_AFTER_S, CREST_BASE_LOAD),
+            ],
+            seed=self.seed + 1,
+            long_until_s=CREST_BEFORE_S + CREST_S,
+        )
+        trial = await self.rig.run(submissions)
+        self.note("crest", trial)
+        end_s = CREST_BEFORE_S + CREST_S
+        useful_s = measures.useful_slot_s(
+            trial.records,
+            trial.starts,
+            self.rig.minion_speeds(),
+            begin_s=CREST_BEFORE_S,
+            end_s=end_s,
+            start_wall_s=trial.start_wall_s,
+        )
+        capacity_s = sum(self.rig.slot_speeds()) * CREST_S
+        refusals = measures.refusals(trial.records)
+        self.figures["crest_goodput"] = useful_s / capacity_s
+        self.figures["crest_refusals"] = refusals.count()
+        self.figures["crest_refusal_p50_ms"] = (
+            refusals.percentile_s(50) * 1000.0
+        )
+        self.figures["crest_refusal_p99_ms"] = (
+            refusals.percentile_s(99) * 1000.0
+        )
+        self.figures["crest_recovery_s"] = measures.recovery_s(
+            trial.records,
+            warm_s=WARM_S / 2.0,
+            step_s=CREST_BEFORE_S,
+            end_s=end_s,
+        )
+        self.series["crest"] = [
+            (w.begin_s, w.stretch, w.failed_share)
+            for w in measures.windows(trial.records)
+        ]
+
+    async def mix(self) -> None:
+        """Measure short requests without and with long work beside them."""
+        short = self.profile.short_only()
+        long = self.profile.long_only()
+        short_level = demand.Level(
+            length_s=WARM_S + MIX_S,
+            requests_per_s=self.rate(SHORT_LOAD, short),
+        )
+        long_level = demand.Level(
+            length_s=(WARM_S + MIX_S) * LONG_SHARE,
+            requests_per_s=self.rate(LONG_LOAD / LONG_SHARE, long),
+        )
+        short_work = demand.generate(short, [short_level], seed=self.seed + 2)
+        long_work = demand.generate(
+            long,
+            [long_level],
+            seed=self.seed + 3,
+            first_number=len(short_work),
+        )
+        without = await self.rig.run(short_work)
+        self.note("short", without)
+        both = sorted([*short_work, *long_work], key=lambda each: each.at_s)
+        mixed = await self.rig.run(both)
+        self.note("short_with_long", mixed)
+        without_s = measures.short_p99_s(without.records, from_s=WARM_S)
+        with_s = measures.short_p99_s(mixed.records, from_s=WARM_S)
+        self.figures["short_p99_without_s"] = without_s
+        self.figures["short_p99_with_s"] = with_s
+        self.figures["short_p99_with_long_over_without"] = with_s / without_s
+
+    async def faults(self, names: collections.abc.Iterable[str]) -> None:
+        """Measure each fault in turn."""
+        for index, name in enumerate(names):
+            await self.fault(name, index)
+
+    async def fault(self, name: str, index: int) -> None:
+        """Put load on the fleet while a fault begins and ends."""
+        begin, end = self.fault_steps(name)
+
+        async def during() -> None:
+            await self.rig.pause(FAULT_BEGIN_S)
+            await threads.deferToThread(begin)
+            await self.rig.pause(FAULT_END_S - FAULT_BEGIN_S)
+            await threads.deferToThread(end)
+
+        submissions = demand.generate(
+            self.profile.short_only(),
+            [
+                demand.Level(
+                    length_s=FAULT_S,
+                    requests_per_s=self.rate(
+                        FAULT_LOAD, self.profile.short_only()
+                    ),
+                    jobs_per_s=JOBS_PER_S,
+                )
+            ],
+            seed=self.seed + 10 + index,
+        )
+        trial = await self.rig.run(submissions, during=during)
+        self.note(name, trial)
+        self.fault_figures[name] = {
+            "violations": len(trial.verdict.violations),
+            "unanswered": trial.verdict.unanswered,
+            "goodput": measures.answered_share(trial.records),
+            "violation_rules": sorted(
+                {v.rule for v in trial.verdict.violations}
+            ),
+        }
+        await self.rig.wait_ready()
+
+    def fault_steps(
+        self, name: str
+    ) -> tuple[
+        collections.abc.Callable[[], None], collections.abc.Callable[[], None]
+    ]:
+        """Return what begins and what ends a fault."""
+        fleet = self.rig.fleet
+        layout = self.rig.layout
+        minion = layout.minions[0].name
+        set_faults = self.rig.set_faults
+        agent_names = [each.name for each in layout.agents]
+        match name:
+            case "kill_coordinator":
+                return self.replacing(self.owner(agent_names, owns=True))
+            case "kill_entry":
+                return self.replacing(layout.entries[0].name)
+            case "kill_worker_agent":
+                workers = agent_names[len(layout.minions) :]
+                return self.replacing(self.owner(workers, owns=False))
+            case "silent_connections":
+                paused = self.owner(agent_names, owns=True)
+                return (
+                    functools.partial(fleet.pause, paused),
+                    functools.partial(fleet.resume, paused),
+                )
+        stand_in, faults = {
+            "table_down": (layout.table.name, {"down": True}),
+            "table_answers_lost": (layout.table.name, {"drop_answer": True}),
+            "minion_fails_fast": (minion, {"fail": True}),
+            "minion_frozen": (minion, {"freeze": True}),
+        }[name]
+        return (
+            functools.partial(set_faults, stand_in, **faults),
+            functools.partial(set_faults, stand_in),
+        )
+
+    def replacing(
+        self, name: str
+    ) -> tuple[
+        collections.abc.Callable[[], None], collections.abc.Callable[[], None]
+    ]:
+        """Return steps that kill a process and start it again."""
+        fleet = self.rig.fleet
+        return (
+            functools.partial(fleet.kill, name),
+            functools.partial(fleet.restart, name),
+        )
+
+    def owner(self, names: list[str], *, owns: bool) -> str:
+        """Return the first agent that owns a shard, or that owns none."""
+        for name in names:
+            shards = self.rig.fleet.agent_status(name)["shards"]
+            if bool(shards) == owns:
+                return name
+        return names[0]
+
+    def outcome(self) -> Outcome:
+        """Return everything that was measured."""
+        return Outcome(
+            figures=self.figures,
+            faults=self.fault_figures,
+            series=self.series,
+            notes=self.notes,
+        )
+
+
+def finite(value: float) -> float | None:
+    """Return a value that JSON can hold."""
+    return value if math.isfinite(value) else None
