--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,16 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 BIN := $(VENV)/bin
-STAMP := $(VENV)/.installed
+# Named after what it installs, so that several trees can share a VENV.
+STAMP := $(VENV)/.installed-$(shell cat requirements.txt \
+	requirements-dev.txt pyproject.toml | sha256sum | cut -c1-16)
 SOURCES := src testing bench spec tools
 # Programs use the code of this tree, also when several trees share a VENV.
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
 .PHONY: demo test lint format model bench slopes scale schema fuzz
 
-$(STAMP): requirements-dev.txt requirements.txt pyproject.toml
+$(STAMP):
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
 		-r requirements-dev.txt
--- a/src/_jasminewind/decisions/placement.py
+++ b/src/_jasminewind/decisions/placement.py
@@ -79,7 +79,7 @@
 
 def worker_demand(declared: resources.Resources) -> resources.Resources:
     """Return what a task takes on a worker, which has no slots."""
-    if declared.slots == 0.0 and declared != resources.NOTHING:
+    if declared.slots == 0.0 and declared.cores > 0.0:
         return declared
     demand = dataclasses.replace(declared, slots=0.0)
     if demand == resources.NOTHING:
@@ -104,14 +104,14 @@
 
     Without any worker nothing is known, and the task may wait for one.
     """
-    if not pool.keepers:
+    if not pool.capacities:
         return True
-    return any(demand.fits(each.endpoint.capacity) for each in pool.keepers)
+    return any(demand.fits(each) for each in pool.capacities)
 
 
 def largest_worker(pool: pools.Pool) -> resources.Resources:
     """Return the largest amount of each resource on any worker."""
-    capacities = [each.endpoint.capacity for each in pool.keepers]
+    capacities = pool.capacities
     if not capacities:
         return resources.NOTHING
     return resources.Resources(
--- a/testing/api/conftest.py
+++ b/testing/api/conftest.py
@@ -61,6 +61,10 @@
         self.released = []
         self.explained = ()
 
+    def new_id(self):
+        rng = random.Random(len(self.submitted))
+        return ids.new(wall_ms=self.now().wall_ms, rng=rng)
+
     def submit(self, submit):
         self.submitted.append(submit)
         self.answers.append(defer.Deferred())
--- /dev/null
+++ b/testing/decisions/test_coordinator_fuzz.py
@@ -0,0 +1,321 @@
+"""Stateful fuzzing of the coordinator with fake keepers.
+
+The machine loses, repeats, delays and reorders messages, replaces keepers
+and cancels work, and checks the invariants that a coordinator alone can
+break against what the fake keepers really ran.
+"""
+
+import collections
+import dataclasses
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+from _jasminewind import errors
+from _jasminewind.messages import tasks
+from _jasminewind.messages import work
+from testing.decisions import conftest
+
+DEFAULT_EXAMPLES = 80
+STEPS = 50
+PICK = strategies.integers(min_value=0, max_value=10_000)
+# Faults that end much work at once come less often than other steps.
+SELDOM = strategies.integers(min_value=0, max_value=5)
+# Several picks per step, so that most examples see tasks start and end.
+PICKS = strategies.lists(PICK, min_size=1, max_size=8)
+SHAPES = strategies.tuples(
+    strategies.integers(min_value=1, max_value=6),
+    strategies.booleans(),
+    strategies.booleans(),
+    strategies.sampled_from([0.5, 3.0, 60.0, 60.0]),
+)
+Outcome = errors.Outcome
+
+
+class CoordinatorMachine(stateful.RuleBasedStateMachine):
+    """A coordinator, three minions and two workers on a bad network."""
+
+    def __init__(self):
+        super().__init__()
+        self.harness = conftest.Harness(minions=3, workers=2, slots=2)
+        self.submits = {}
+        self.askers = collections.defaultdict(set)
+        self.refused = set()
+        # Results on their way, which may be lost, repeated or reordered.
+        self.inbox = []
+        # How often each task was started, over all incarnations.
+        self.ran = collections.Counter()
+
+    def send(self, sender, message):
+        """Give a message to the coordinator."""
+        self.harness.give(sender, message)
+
+    @stateful.initialize(shapes=strategies.lists(SHAPES, min_size=2))
+    def submit_first(self, shapes):
+        """Begin with work."""
+        self.submit(shapes)
+
+    @stateful.rule(shapes=strategies.lists(SHAPES, min_size=1, max_size=4))
+    def submit(self, shapes):
+        """Submit new jobs or requests."""
+        for count, is_job, repeatable, budget_s in shapes:
+            kind = work.WorkKind.JOB if is_job else work.WorkKind.REQUEST
+            count = count if is_job else 1
+            work_id = self.harness.new_id()
+            self.submits[work_id] = (count, kind, repeatable)
+            self.askers[work_id].add(conftest.ENTRY)
+            self.harness.submit(
+                count,
+                work_id=work_id,
+                kind=kind,
+                repeatable=repeatable,
+                budget_s=budget_s,
+            )
+
+    @stateful.precondition(lambda self: self.submits)
+    @stateful.rule(pick=PICK)
+    def resubmit(self, pick):
+        """Submit a known id again through another entry."""
+        work_id = list(self.submits)[pick % len(self.submits)]
+        if conftest.OTHER_ENTRY in self.askers[work_id]:
+            return
+        self.askers[work_id].add(conftest.OTHER_ENTRY)
+        count, kind, repeatable = self.submits[work_id]
+        self.harness.submit(
+            count,
+            work_id=work_id,
+            kind=kind,
+            repeatable=repeatable,
+            sender=conftest.OTHER_ENTRY,
+        )
+
+    @stateful.precondition(lambda self: self.submits)
+    @stateful.rule(pick=PICK, chance=SELDOM)
+    def cancel(self, pick, chance):
+        """Cancel a known id."""
+        if chance < 3:
+            return
+        work_id = list(self.submits)[pick % len(self.submits)]
+        self.send(conftest.ENTRY, work.Cancel(work_id=work_id))
+
+    @stateful.rule(picks=PICKS)
+    def deliver(self, picks):
+        """Deliver messages to keepers, in any order."""
+        mail = self.harness.mail
+        for pick in picks:
+            if mail:
+                self.receive(mail.pop(pick % len(mail)))
+
+    def receive(self, send):
+        """Let a keeper take one message."""
+        keeper = self.harness.keepers.get(send.to)
+        if keeper is None:
+            return
+        message = send.message
+        if isinstance(message, tasks.StartTasks):
+            before = set(keeper.running)
+            refusal = keeper.take(message)
+            for key in keeper.running:
+                if key not in before:
+                    self.ran[(key.work_id, key.index)] += 1
+            if refusal is not None:
+                self.inbox.append((keeper.node, refusal))
+        elif isinstance(message, tasks.StopTasks):
+            error = conftest.failure(
+                Outcome.FAILED_WHILE_RUNNING, errors.Code.CANCELED
+            )
+            for key in message.keys:
+                if key in keeper.running:
+                    ended = keeper.end(key, error=error)
+                    self.inbox.append((keeper.node, ended))
+                elif key not in keeper.done:
+                    keeper.tombstones.add(key)
+        else:
+            self.inbox.append((keeper.node, keeper.answer(message)))
+
+    @stateful.rule(
+        picks=PICKS,
+        outcome=strategies.sampled_from([None, None, None, *Outcome]),
+    )
+    def end(self, picks, outcome):
+        """End running tasks, with success or with a failure."""
+        self.end_tasks(picks, outcome)
+
+    def end_tasks(self, picks, outcome):
+        """End the picked tasks."""
+        error = conftest.failure(outcome) if outcome is not None else None
+        for pick in picks:
+            running = [
+                (keeper, key)
+                for keeper in self.harness.keepers.values()
+                for key in keeper.running
+            ]
+            if not running:
+                return
+            keeper, key = running[pick % len(running)]
+            if outcome == Outcome.NOT_RUN:
+                self.ran[(key.work_id, key.index)] -= 1
+            self.inbox.append((keeper.node, keeper.end(key, error=error)))
+
+    @stateful.rule(picks=PICKS, keep=strategies.booleans())
+    def hear(self, picks, keep):
+        """Deliver messages of keepers, perhaps not for the last time."""
+        for pick in picks:
+            if not self.inbox:
+                return
+            place = pick % len(self.inbox)
+            sender, message = self.inbox[place]
+            if not keep:
+                del self.inbox[place]
+            self.send(sender, message)
+
+    @stateful.rule(stages=strategies.integers(min_value=1, max_value=4))
+    def progress(self, stages):
+        """Let everything on its way arrive, for one or more stages."""
+        for stage in range(stages):
+            if stage % 2 == 0:
+                mail, self.harness.mail = self.harness.mail, []
+                for send in mail:
+                    self.receive(send)
+            else:
+                self.end_tasks([0] * 8, None)
+            inbox, self.inbox = self.inbox, []
+            for sender, message in inbox:
+                self.send(sender, message)
+
+    @stateful.rule(
+        picks=PICKS, fault=strategies.sampled_from(["mail", "inbox", "send"])
+    )
+    def lose_messages(self, picks, fault):
+        """Lose messages, or report that one was not written."""
+        harness = self.harness
+        lossy = self.inbox if fault == "inbox" else harness.mail
+        if not lossy:
+            return
+        lost = lossy.pop(picks[0] % len(lossy))
+        if fault == "send":
+            harness.run(
+                harness.coordinator.on_send_failed(
+                    lost.to, lost.message, harness.now
+                )
+            )
+
+    @stateful.rule(pick=PICK)
+    def lose_link(self, pick):
+        """Report the loss of a link."""
+        nodes = list(self.harness.keepers)
+        node = nodes[pick % len(nodes)]
+        harness = self.harness
+        harness.run(harness.coordinator.on_link_lost(node, harness.now))
+
+    @stateful.rule(pick=PICK, chance=SELDOM)
+    def replace_keeper(self, pick, chance):
+        """Replace a keeper by a new incarnation that knows nothing."""
+        if chance < 3:
+            return
+        harness = self.harness
+        nodes = list(harness.keepers)
+        keeper = harness.keepers.pop(nodes[pick % len(nodes)])
+        node = dataclasses.replace(
+            keeper.node, incarnation=keeper.node.incarnation + 1
+        )
+        harness.add_keeper(dataclasses.replace(keeper.member, node=node))
+        harness.announce()
+
+    @stateful.rule(pick=PICK, chance=SELDOM)
+    def suspect_keeper(self, pick, chance):
+        """Mark a keeper suspect in the view, or none."""
+        nodes = list(self.harness.keepers)
+        suspects = (nodes[pick % len(nodes)].name,) if chance == 5 else ()
+        self.harness.announce(suspects=suspects)
+
+    @stateful.rule(seconds=strategies.sampled_from([0.1, 0.5, 3.0]))
+    def wait(self, seconds):
+        """Let time pass."""
+        self.harness.advance(seconds)
+
+    @stateful.invariant()
+    def no_second_run(self):
+        """No task that must not be repeated is started twice."""
+        for (work_id, index), count in self.ran.items():
+            if not self.submits[work_id][2]:
+                assert count <= 1, f"{work_id}/{index} started {count} times"
+
+    @stateful.invariant()
+    def answers_are_whole(self):
+        """Answers are whole, equal for all, and one for each requester."""
+        seen = {}
+        for _, answer in self.harness.answers:
+            stored = seen.setdefault(answer.work_id, answer)
+            assert stored == answer
+            count = self.submits[answer.work_id][0]
+            if answer.state == work.WorkState.COMPLETE:
+                assert answer.error is None
+                payloads = [each.payload for each in answer.outputs]
+                wanted = [f'"{index}"' for index in range(count)]
+                assert payloads == wanted
+            else:
+                assert answer.outputs == ()
+                assert answer.error is not None
+        receivers = [
+            (answer.work_id, to) for to, answer in self.harness.answers
+        ]
+        assert len(set(receivers)) == len(receivers)
+
+    @stateful.invariant()
+    def not_run_means_not_run(self):
+        """Nothing that was answered as not run has run or will run."""
+        for _, answer in self.harness.answers:
+            if answer.error is None:
+                continue
+            if answer.error.outcome == Outcome.NOT_RUN:
+                for index in range(self.submits[answer.work_id][0]):
+                    assert self.ran[(answer.work_id, index)] <= 0
+
+    @stateful.invariant()
+    def accounts_agree(self):
+        """Counts of queues, quotas and rooms match what they count."""
+        dispatcher = self.harness.coordinator.dispatcher
+        waiting = collections.Counter()
+        for run in dispatcher.runs.values():
+            for task in run.tasks:
+                waiting[run.pool] += task.waiting
+        for pool in dispatcher.pools.values():
+            assert pool.waiting() == waiting[pool]
+        in_flight = sum(len(run.tasks) for run in dispatcher.runs.values())
+        use = self.harness.coordinator.admission.use.values()
+        assert sum(each.in_flight for each in use) == in_flight
+        for keeper in dispatcher.keepers.values():
+            for attempt in keeper.outstanding.values():
+                assert dispatcher.attempts[attempt.key] is attempt
+            pending = [0.0] * 4
+            for attempt in keeper.unreflected.values():
+                for place, amount in enumerate(attempt.task.amounts):
+                    pending[place] += amount
+            assert pending == keeper.pending
+
+    def teardown(self):
+        """With the faults over, everything is answered in time."""
+        self.harness.advance(61.0, step_s=0.5)
+        for work_id, askers in self.askers.items():
+            for asker in askers:
+                assert self.harness.answer(work_id, asker) is not None
+        self.answers_are_whole()
+        self.not_run_means_not_run()
+        assert not self.harness.coordinator.has_work()
+
+
+def test_coordinator_fuzz(request):
+    """Guards against faults that combine to break an invariant."""
+    examples = request.config.getoption("--fuzz-examples", default=None)
+    stateful.run_state_machine_as_test(
+        CoordinatorMachine,
+        settings=settings(
+            max_examples=examples or DEFAULT_EXAMPLES,
+            stateful_step_count=STEPS,
+            derandomize=True,
+            database=None,
+            deadline=None,
+        ),
+    )
