Compare the goodput of a step with what the arrivals allow

Cause: slots cannot be busy before enough work has arrived, so full slots from the first moment of a step were more than capacity allows.

--- a/src/_jasminewind/experiment/ideal.py
+++ b/src/_jasminewind/experiment/ideal.py
@@ -13,6 +13,33 @@
     run_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Placement:
+    """When a task runs, and the speed of its slot."""
+
+    start_s: float
+    end_s: float
+    speed: float
+
+
+def work_done(
+    arrivals: collections.abc.Sequence[Arrival],
+    speeds: collections.abc.Sequence[float],
+    *,
+    begin_s: float,
+    end_s: float,
+) -> float:
+    """Return the work that the slots can do in a span.
+
+    It is in slot seconds at speed 1. A slot works whenever a task waits.
+    """
+    return sum(
+        max(0.0, min(each.end_s, end_s) - max(each.start_s, begin_s))
+        * each.speed
+        for each in shortest_first(arrivals, speeds)
+    )
+
+
 def response_times(
     arrivals: collections.abc.Sequence[Arrival],
     speeds: collections.abc.Sequence[float],
@@ -27,7 +54,14 @@
         earliest_completion(arrivals, speeds),
         shortest_first(arrivals, speeds),
     )
-    return min(schedules, key=sum)
+    times = [
+        [
+            placed.end_s - arrival.at_s
+            for placed, arrival in zip(schedule, arrivals, strict=True)
+        ]
+        for schedule in schedules
+    ]
+    return min(times, key=sum)
 
 
 def in_order(
@@ -40,10 +74,10 @@
 def earliest_completion(
     arrivals: collections.abc.Sequence[Arrival],
     speeds: collections.abc.Sequence[float],
-) -> list[float]:
+) -> list[Placement]:
     """Put each task, in order of arrival, where it ends first."""
     free_s = [0.0] * len(speeds)
-    found = [0.0] * len(arrivals)
+    found: dict[int, Placement] = {}
     for index in in_order(arrivals):
         arrival = arrivals[index]
         end_s, slot = min(
@@ -53,20 +87,20 @@
             )
         )
         free_s[slot] = end_s
-        found[index] = end_s - arrival.at_s
-    return found
+        found[index] = placement(end_s, arrival.run_s, speeds[slot])
+    return [found[index] for index in range(len(arrivals))]
 
 
 def shortest_first(
     arrivals: collections.abc.Sequence[Arrival],
     speeds: collections.abc.Sequence[float],
-) -> list[float]:
+) -> list[Placement]:
     """Give the fastest free slot to the shortest task that waits."""
     free = [(-speed, slot) for slot, speed in enumerate(speeds)]
     heapq.heapify(free)
     busy: list[tuple[float, int]] = []
     waiting: list[tuple[float, int]] = []
-    found = [0.0] * len(arrivals)
+    found: dict[int, Placement] = {}
     coming = in_order(arrivals)
     position = 0
     while position < len(coming) or waiting:
@@ -91,5 +125,10 @@
         _, slot = heapq.heappop(free)
         end_s = now_s + run_s / speeds[slot]
         heapq.heappush(busy, (end_s, slot))
-        found[index] = end_s - arrivals[index].at_s
-    return found
+        found[index] = placement(end_s, run_s, speeds[slot])
+    return [found[index] for index in range(len(arrivals))]
+
+
+def placement(end_s: float, run_s: float, speed: float) -> Placement:
+    """Return the placement of a task that ends at ``end_s``."""
+    return Placement(start_s=end_s - run_s / speed, end_s=end_s, speed=speed)
--- a/src/_jasminewind/experiment/measures.py
+++ b/src/_jasminewind/experiment/measures.py
@@ -87,6 +87,24 @@
     return ideal.response_times(arrivals, speeds)
 
 
+def possible_slot_s(
+    records: collections.abc.Iterable[load.Record],
+    speeds: collections.abc.Sequence[float],
+    *,
+    begin_s: float,
+    end_s: float,
+) -> float:
+    """Return the work that the slots could do in a span for requests."""
+    arrivals = [
+        ideal.Arrival(
+            at_s=each.submission.at_s, run_s=each.submission.tasks[0].run_s
+        )
+        for each in records
+        if is_request(each)
+    ]
+    return ideal.work_done(arrivals, speeds, begin_s=begin_s, end_s=end_s)
+
+
 def ratios(
     records: collections.abc.Iterable[load.Record],
     speeds: collections.abc.Sequence[float],
