Write the benchmark's figures after each policy

Cause: a run that had to be stopped, because other programs took the machine, lost all figures. Change: bench.json and bench.md are written after each policy, and the table shows the load averages of each column. Conclusion: not run yet as a whole.

--- a/bench/report.py
+++ b/bench/report.py
@@ -93,10 +93,20 @@
                     ]
                 )
             )
+        loads = [load_averages(by_policy[p]) for p in policies]
+        lines.append(row(["load average", "", *loads, ""]))
         lines += fault_table(by_policy)
     return "\n".join(lines) + "\n"
 
 
+def load_averages(outcome: scenarios.Outcome) -> str:
+    """Return the range of the machine's load average in the phases."""
+    found = [note["load_average"] for note in outcome.notes.values()]
+    if not found:
+        return "not run"
+    return f"{min(found):g} to {max(found):g}"
+
+
 def fault_table(
     by_policy: dict[str, scenarios.Outcome],
 ) -> collections.abc.Iterator[str]:
--- a/bench/run.py
+++ b/bench/run.py
@@ -64,9 +64,11 @@
             by_policy = self.outcomes.setdefault(deployment.name, {})
             for policy in self.policies:
                 by_policy[policy] = await self.run_one(deployment, policy)
-        conditions["took_s"] = round(time.monotonic() - began_s, 1)
-        conditions["load_average_after"] = rigs.load_average()
-        self.write(conditions)
+                conditions["took_s"] = round(time.monotonic() - began_s, 1)
+                conditions["load_average_after"] = rigs.load_average()
+                # A run that is stopped leaves what it has measured.
+                self.write(conditions)
+        print((BUILD / "bench.md").read_text())
 
     def conditions(self) -> dict[str, typing.Any]:
         """Return what a reader needs to judge the figures."""
@@ -137,8 +139,6 @@
         (BUILD / "bench.md").write_text(
             "# Benchmark\n\n" + "\n".join(lines) + "\n" + table + images
         )
-        print(table)
-        print("\n".join(lines))
 
 
 def names(
