--- a/src/_jasminewind/decisions/dispatcher.py
+++ b/src/_jasminewind/decisions/dispatcher.py
@@ -267,8 +267,9 @@
                 )
             times = self.times.method(task.service, task.method)
             entry = runs.TaskRun(run, index, task, times, demand)
-            entry.cost_s = self.times.expected_s(times, task.expected_s)
-            entry.is_long = entry.cost_s > long_s
+            expected_s = self.times.expected_s(times, task.expected_s)
+            entry.cost_s = runtimes.cost_s(times, expected_s)
+            entry.is_long = expected_s > long_s
             run.tasks.append(entry)
         return run
 
@@ -917,7 +918,7 @@
         error: errors.WorkError,
         now: core.Instant,
     ) -> None:
-        """Retry a repeatable task within the budget, else fail its run."""
+        """Retry a repeatable request within the budget, else fail its run."""
         task = attempt.task
         run = task.run
         task.runs_used += 1
@@ -925,8 +926,10 @@
             return
         if task.live or task.waiting:
             return
+        # A task of a job never starts twice, even one that is repeatable.
         if (
-            task.task.repeatable
+            run.is_request
+            and task.task.repeatable
             and error.code not in FINAL_CODES
             and task.runs_used < retries.MAX_ATTEMPTS
             and self.budget.spend()
