--- /dev/null
+++ b/testing/experiment/test_ideal.py
@@ -0,0 +1,82 @@
+"""Tests of the ideal schedule."""
+
+import random
+
+import pytest
+
+from _jasminewind.experiment import ideal
+
+SPEEDS = (1.5, 1.0, 1.0, 0.7)
+
+
+def arrivals(seed, *, count=200, gap_s=0.12):
+    rng = random.Random(seed)
+    now_s = 0.0
+    found = []
+    for _ in range(count):
+        now_s += rng.expovariate(1.0 / gap_s)
+        found.append(ideal.Arrival(at_s=now_s, run_s=rng.uniform(0.05, 1.0)))
+    return found
+
+
+def test_lone_task_takes_fastest_slot():
+    """An ideal on a slow slot would make every ratio look better."""
+    lone = [ideal.Arrival(at_s=3.0, run_s=0.6)]
+    assert ideal.response_times(lone, SPEEDS) == [pytest.approx(0.4)]
+
+
+def test_waiting_is_counted():
+    """Without the wait, load alone would make ratios miss their target."""
+    both = [ideal.Arrival(at_s=0.0, run_s=1.0)] * 2
+    assert ideal.response_times(both, (1.0,)) == [1.0, 2.0]
+
+
+def test_short_task_goes_before_long_one_that_waits():
+    """An ideal in order of arrival is not the best when work waits."""
+    queue = [
+        ideal.Arrival(at_s=0.0, run_s=1.0),
+        ideal.Arrival(at_s=0.1, run_s=5.0),
+        ideal.Arrival(at_s=0.2, run_s=0.1),
+    ]
+    found = ideal.response_times(queue, (1.0,))
+    assert found == pytest.approx([1.0, 6.0, 0.9])
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize(
+    "schedule", [ideal.earliest_completion, ideal.shortest_first]
+)
+def test_schedule_does_not_exceed_slots(schedule, seed):
+    """A schedule above the capacity would be no bound to compare with."""
+    work = arrivals(seed)
+    found = schedule(work, SPEEDS)
+    for each, placed in zip(work, found, strict=True):
+        assert placed.start_s >= each.at_s - 1e-9
+        length_s = placed.end_s - placed.start_s
+        assert length_s == pytest.approx(each.run_s / placed.speed)
+    for speed in set(SPEEDS):
+        mine = [p for p in found if p.speed == speed]
+        moments = [p.start_s for p in mine]
+        running = [
+            sum(1 for p in mine if p.start_s <= at_s < p.end_s - 1e-9)
+            for at_s in moments
+        ]
+        assert max(running, default=0) <= SPEEDS.count(speed)
+
+
+def test_work_done_is_bounded_by_slots_and_arrivals():
+    """Goodput would be compared with more than capacity allows."""
+    flood = [ideal.Arrival(at_s=1.0, run_s=0.5)] * 100
+    done_s = ideal.work_done(flood, SPEEDS, begin_s=1.0, end_s=2.0)
+    assert done_s == pytest.approx(sum(SPEEDS))
+    done_s = ideal.work_done(flood[:2], SPEEDS, begin_s=0.0, end_s=9.0)
+    assert done_s == pytest.approx(1.0)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_order_of_arguments_does_not_matter(seed):
+    """Records that are not sorted by time would get wrong ideals."""
+    work = arrivals(seed)
+    found = ideal.response_times(work, SPEEDS)
+    backwards = ideal.response_times(work[::-1], SPEEDS)
+    assert backwards[::-1] == pytest.approx(found)
