--- a/src/_jasminewind/nodes/entry.py
+++ b/src/_jasminewind/nodes/entry.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import itertools
+import math
 import random
 import typing
 
@@ -11,8 +12,10 @@
 
 from _jasminewind import changes
 from _jasminewind import configuration
+from _jasminewind import errors
 from _jasminewind import ids
 from _jasminewind import members
+from _jasminewind import metrics
 from _jasminewind import timers
 from _jasminewind.api import backend
 from _jasminewind.decisions import core
@@ -30,7 +33,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class EntryStatus:
-    """Counts of an entry. Bytes are those of links since the start."""
+    """Counts of an entry. Bytes are those of links since the start.
+
+    ``messages`` are the messages sent on links since the start, by type.
+    """
 
     node: str
     config_version: int
@@ -41,6 +47,7 @@
     in_flight: int
     bytes_in: int
     bytes_out: int
+    messages: dict[str, int]
 
 
 class Entry(node.Node, backend.Backend):
@@ -57,6 +64,7 @@
         log: typing.Any,
         rng: random.Random,
         initial_config: configuration.Configuration | None = None,
+        meter: metrics.Meter = metrics.NO_METER,
     ) -> None:
         super().__init__(
             reactor=reactor,
@@ -65,6 +73,7 @@
             table=table,
             decision_log=decision_log,
             log=log,
+            meter=meter,
         )
         self.initial_config = initial_config
         self.rng = rng
@@ -104,14 +113,18 @@
         """Forward a job or a request; fire with its answer."""
         entry_made = submit.work_id in self.entry_made
         self.entry_made.discard(submit.work_id)
-        return self._ask(
+        self.meter.add(metrics.SUBMISSIONS, team=submit.team)
+        began_s = self.timers.now().mono_s
+        asking = self._ask(
             lambda ticket, now: self.relay.submit(
                 ticket, submit, now, entry_made=entry_made
             )
         )
+        return asking.addCallback(self._measure_answer, submit.team, began_s)
 
     def cancel(self, work_id: str) -> None:
         """Tell the owner that nobody waits for the answer any more."""
+        self.meter.add(metrics.CANCELLATIONS)
         actions = self.relay.cancel(work_id, self.timers.now())
         self.perform(self.relay, actions)
 
@@ -175,12 +188,14 @@
     def is_ready(self) -> backend.Readiness:
         """Tell whether the entry is fresh and not shutting down."""
         reason = ""
-        if self.is_leaving:
-            reason = "it is shutting down"
-        elif self.config().version == 0:
+        if self.config().version == 0:
             reason = "it has no configuration yet"
         elif not self.config_sync.is_fresh(self.timers.now()):
             reason = "neither the table nor other entries answer it"
+        elif self.is_leaving:
+            return backend.Readiness(
+                ready=False, reason="it is shutting down", takes_work=True
+            )
         return backend.Readiness(ready=not reason, reason=reason)
 
     def now(self) -> core.Instant:
@@ -190,7 +205,7 @@
     # Life cycle.
 
     def begin_shutdown(self) -> None:
-        """Take no new work."""
+        """Fail the balancer's health check, so that no more work comes."""
         self.is_leaving = True
 
     def is_idle(self) -> bool:
@@ -212,6 +227,7 @@
             in_flight=self.relay.in_flight(),
             bytes_in=bytes_in,
             bytes_out=bytes_out,
+            messages=self.links.sent_counts(),
         )
 
     def stop(self) -> None:
@@ -231,6 +247,7 @@
         contacts = self.config_sync.entries()
         self.directory.set_entries(contacts)
         self.relay.set_entry_count(len(contacts))
+        self.relay.set_fresh(self.config_sync.is_fresh(now))
         self._propose_initial(now)
         view = self.directory.members()
         if view is not self.shared_view:
@@ -238,8 +255,35 @@
             self.share_view(view)
             self.releases.ownership.on_members(view, now)
 
+    def measure(self, now: core.Instant) -> None:
+        """Record the state of this entry."""
+        super().measure(now)
+        self.meter.record(metrics.MEMBERS, len(self.directory.members()))
+        version = self.config().version
+        self.meter.record(metrics.CONFIG_VERSION, version)
+        confirmed_s = self.config_sync.confirmed_s(now)
+        if version > 0 and math.isfinite(confirmed_s):
+            age_s = now.mono_s - confirmed_s
+            self.meter.record(metrics.CONFIG_AGE, age_s)
+
     # Parts.
 
+    def _measure_answer(
+        self, answer: work.Answer, team: str, began_s: float
+    ) -> work.Answer:
+        took_s = self.timers.now().mono_s - began_s
+        error = answer.error
+        outcome = "" if error is None else error.outcome.value
+        self.meter.add(
+            metrics.ANSWERS, state=answer.state.value, outcome=outcome
+        )
+        if error is not None and error.outcome is errors.Outcome.NOT_RUN:
+            self.meter.add(metrics.REFUSALS, reason=error.code.value)
+            self.meter.record(metrics.REFUSAL_TIME, took_s, team=team)
+        else:
+            self.meter.record(metrics.RESPONSE_TIME, took_s, team=team)
+        return answer
+
     def _ask(
         self,
         begin: collections.abc.Callable[[int, core.Instant], core.Actions],
--- a/src/_jasminewind/wire/links.py
+++ b/src/_jasminewind/wire/links.py
@@ -86,6 +86,7 @@
         self.port: typing.Any = None
         self.closed_bytes_in = 0
         self.closed_bytes_out = 0
+        self.sent: collections.Counter[str] = collections.Counter()
         self.is_stopping = False
         self.checks = timer_service.every(CHECK_PERIOD_S, self._check)
 
@@ -112,12 +113,18 @@
         """
         connection = self._ready_connection(to, address)
         if connection is not None:
-            connection.send(message)
+            self._write(connection, message)
         elif address == members.NO_ADDRESS:
             self._fail_later(to, message)
         else:
             self._wait(to, address, message)
 
+    def _write(
+        self, connection: connections.Connection, message: object
+    ) -> None:
+        self.sent[type(message).__name__] += 1
+        connection.send(message)
+
     def _ready_connection(
         self, to: members.NodeId, address: members.Address
     ) -> connections.Connection | None:
@@ -146,6 +153,10 @@
         sent = sum(c.bytes_out for c in self.open)
         return self.closed_bytes_in + received, self.closed_bytes_out + sent
 
+    def sent_counts(self) -> dict[str, int]:
+        """Return the messages written since the start, by type."""
+        return dict(self.sent)
+
     def stop(self) -> None:
         """Close every link and accept none."""
         self.is_stopping = True
@@ -153,6 +164,9 @@
         if self.port is not None:
             self.port.stopListening()
         for connection in list(self.open):
+            if connection.transport is None:
+                # Still being opened; it is closed when it is ready.
+                continue
             # A graceful close lets written messages reach the peer.
             typing.cast(typing.Any, connection.transport).loseConnection()
 
@@ -162,6 +176,9 @@
 
     def connection_ready(self, connection: connections.Connection) -> None:
         """Use the connection and send what waited for it."""
+        if self.is_stopping:
+            connection.close("this process is shutting down")
+            return
         node = connection.peer_node()
         assert node is not None
         address = connection.peer_address()
@@ -170,7 +187,7 @@
         for key in (node, address):
             waiting = self.waiting.pop(key, Waiting())
             for message in waiting.messages:
-                connection.send(message)
+                self._write(connection, message)
         expected = connection.expected
         if expected not in (None, members.UNNAMED, node):
             # Another incarnation runs at this address, so that the
--- a/testing/decisions/conftest.py
+++ b/testing/decisions/conftest.py
@@ -31,12 +31,20 @@
         self.kind = verdicts.VerdictKind.ACCEPT
         self.interval = None
         self.wanted = []
+        self.floor_ms = 0
 
     def judge(self, work_id, now):
-        """Return the verdict that the test has set."""
-        del work_id, now
+        """Return the verdict that the test has set, or a forgotten id."""
+        del now
+        if ids.time_ms(work_id) <= self.floor_ms:
+            return verdicts.Verdict(kind=verdicts.VerdictKind.EARLIER)
         return verdicts.Verdict(kind=self.kind, interval=self.interval)
 
+    def raise_floor(self, shard, floor_ms):
+        """Judge ids up to ``floor_ms`` as forgotten."""
+        del shard
+        self.floor_ms = max(self.floor_ms, floor_ms)
+
     def wants(self, work_id, now):
         """Note the id that was ahead."""
         del now
@@ -282,6 +290,7 @@
         team="red",
         budget_s=30.0,
         sender=ENTRY,
+        join_only=False,
         **task_fields,
     ):
         """Submit work and return its id."""
@@ -299,6 +308,7 @@
             ),
             budget_s=budget_s,
             config_version=1,
+            join_only=join_only,
         )
         self.give(sender, message)
         return work_id
--- a/testing/decisions/test_coordinator.py
+++ b/testing/decisions/test_coordinator.py
@@ -4,11 +4,13 @@
 
 from _jasminewind import errors
 from _jasminewind import members
+from _jasminewind import metrics
 from _jasminewind.decisions import verdicts
 from _jasminewind.messages import ownership as ownership_messages
 from _jasminewind.messages import tasks
 from _jasminewind.messages import work
 from testing.decisions import conftest
+from testing.decisions import fakes
 
 JOB = work.WorkKind.JOB
 Outcome = errors.Outcome
@@ -223,3 +225,100 @@
     harness.give(keeper.node, keeper.results(key))
     assert harness.sent[-1].message == tasks.ResultsAck(keys=(key,))
     assert harness.sent[-1].to == keeper.node
+
+
+def test_forgotten_id_is_answered_and_not_started(harness):
+    """Guards against a second run of an id whose record has expired."""
+    work_id = harness.submit()
+    harness.finish()
+    harness.advance(700.0, step_s=10.0)
+    assert harness.coordinator.status().records == 0
+    harness.submit(work_id=work_id, sender=conftest.OTHER_ENTRY)
+    answer = harness.answer(work_id, conftest.OTHER_ENTRY)
+    assert answer.error.outcome == Outcome.MAY_HAVE_RUN
+    assert not harness.mail
+
+
+def test_full_ledger_refuses_and_remembers_it(harness):
+    """Guards against running an id that was refused as not run."""
+    harness.coordinator.ledger.max_records = 1
+    harness.submit()
+    refused = harness.submit()
+    assert harness.answer(refused).error.outcome == Outcome.NOT_RUN
+    harness.coordinator.ledger.max_records = 2
+    harness.submit(work_id=refused, sender=conftest.OTHER_ENTRY)
+    stored = harness.answer(refused, conftest.OTHER_ENTRY)
+    assert stored == harness.answer(refused)
+    harness.finish()
+    received = [each.received for each in harness.keepers.values()]
+    assert sum(len(keys) for keys in received) == 1
+
+
+def test_join_only_joins_running_work(harness):
+    """Guards against NOT_RUN for a resubmission of running work."""
+    work_id = harness.submit()
+    harness.submit(
+        work_id=work_id, sender=conftest.OTHER_ENTRY, join_only=True
+    )
+    harness.finish()
+    answer = harness.answer(work_id, conftest.OTHER_ENTRY)
+    assert answer == harness.answer(work_id)
+
+
+def test_join_only_of_a_new_id_is_refused_for_ever(harness):
+    """Guards against a late copy that runs after NOT_RUN was answered."""
+    work_id = harness.submit(join_only=True)
+    assert harness.answer(work_id).error.outcome == Outcome.NOT_RUN
+    harness.submit(work_id=work_id, sender=conftest.OTHER_ENTRY)
+    answer = harness.answer(work_id, conftest.OTHER_ENTRY)
+    assert answer == harness.answer(work_id)
+    assert not harness.mail
+
+
+def test_join_only_does_not_hold_back_pending_work(harness):
+    """Guards against refusing a submission for a question about it."""
+    harness.ownership.kind = verdicts.VerdictKind.AHEAD
+    work_id = harness.submit(join_only=True)
+    harness.submit(work_id=work_id, sender=conftest.OTHER_ENTRY)
+    harness.ownership.kind = verdicts.VerdictKind.ACCEPT
+    harness.advance(0.1)
+    harness.finish()
+    answer = harness.answer(work_id, conftest.OTHER_ENTRY)
+    assert answer.state == work.WorkState.COMPLETE
+    assert answer == harness.answer(work_id)
+
+
+@pytest.mark.parametrize(
+    ("kind", "may_have_run"),
+    [
+        (verdicts.VerdictKind.ACCEPT, False),
+        (verdicts.VerdictKind.AHEAD, True),
+        (verdicts.VerdictKind.EARLIER, True),
+        (verdicts.VerdictKind.UNKNOWN, True),
+    ],
+)
+def test_unknown_id_is_unseen_only_in_the_own_interval(
+    harness, kind, may_have_run
+):
+    """Guards against "never seen" for an id that another owner may hold."""
+    harness.ownership.kind = kind
+    query = work.QueryWork(work_id=harness.new_id(), query_id=5)
+    harness.give(conftest.ENTRY, query)
+    status = harness.sent[-1].message
+    assert status.state == work.WorkState.UNKNOWN
+    assert status.may_have_run is may_have_run
+
+
+def test_starts_and_refusals_are_measured(harness):
+    """Guards against metrics that stay at zero while work runs."""
+    meter = fakes.Meter()
+    harness.coordinator.meter = meter
+    harness.coordinator.dispatcher.meter = meter
+    harness.submit()
+    harness.submit(team="unknown")
+    harness.finish()
+    assert meter.total(metrics.TASK_STARTS) == 1
+    assert meter.total(metrics.TASK_RETRIES) == 0
+    assert meter.total(metrics.REFUSALS) == 1
+    assert meter.values[metrics.QUEUE_TIME.name] == [0.0]
+    assert meter.values[metrics.RUN_TIME.name] == [0.1]
