Count a submission answered after the caller gave up as unanswered

Cause: an answer that came later than the deadline and 3 s made the oracle count a submission as answered, although its caller had given up. Change: only an answer within that time counts.

--- a/src/_jasminewind/experiment/oracle.py
+++ b/src/_jasminewind/experiment/oracle.py
@@ -43,7 +43,8 @@
         extra += sum(len(each) - 1 for each in found.values())
         violations += check_starts(record, found, repeatable)
         violations += check_answer(record, found)
-        if record.status == 0 and record.answers == 0:
+        # An answer after the generator gave up is no answer to a caller.
+        if record.status == 0:
             unanswered += 1
     return Verdict(
         violations=tuple(violations),
--- a/testing/experiment/test_oracle.py
+++ b/testing/experiment/test_oracle.py
@@ -145,9 +145,10 @@
     assert rules(record, STARTS) == ["answered twice"]
 
 
-def test_missing_answer_is_counted(record):
-    """A caller waits for ever."""
+@pytest.mark.parametrize("answers", [0, 1])
+def test_missing_answer_is_counted(record, answers):
+    """A caller waits for ever, or gave up before a late answer came."""
     record.status = 0
-    record.answers = 0
+    record.answers = answers
     verdict = oracle.check([record], STARTS, repeatable=REPEATABLE)
     assert verdict.unanswered == 1
