Build nodes from their settings; test links, probes and the daemon

Cause: the daemon took settings apart for each constructor. A second signal still waited 0.2 s, and stopping twice closed everything twice. A message above the frame limit was written, and the peer closed the link on it, with every other message. A message to a peer that refused the greeting waited for the full timeout.

Change: Agent.from_settings and Entry.from_settings. A second signal ends the reactor at once. Links report a message above the limit as not sent and keep the link; they give up at once what waits for a connection that closes before its greeting.

--- a/src/_jasminewind/nodes/agent.py
+++ b/src/_jasminewind/nodes/agent.py
@@ -7,6 +7,7 @@
 from _jasminewind import announcements
 from _jasminewind import members
 from _jasminewind import metrics
+from _jasminewind import settings
 from _jasminewind import timers
 from _jasminewind.decisions import agentsync
 from _jasminewind.decisions import coordinator
@@ -97,6 +98,18 @@
             self.add(decision)
         self.ticks.append(timer_service.every(REFRESH_PERIOD_S, self.refresh))
 
+    @classmethod
+    def from_settings(
+        cls, chosen: settings.Settings, **parts: typing.Any
+    ) -> "Agent":
+        """Return the agent of these settings; ``parts`` are the others."""
+        seeds = tuple(
+            members.Address(seed.host, seed.port) for seed in chosen.seeds
+        )
+        return cls(
+            seeds=seeds, endpoint_lease_s=chosen.endpoint_lease_s, **parts
+        )
+
     def link_message(self, sender: members.NodeId, message: object) -> None:
         """Handle a message; work from a newer configuration fetches it."""
         now = self.timers.now()
--- a/src/_jasminewind/nodes/daemon.py
+++ b/src/_jasminewind/nodes/daemon.py
@@ -10,7 +10,6 @@
 import structlog
 from twisted.internet import endpoints
 
-from _jasminewind import configuration
 from _jasminewind import logs
 from _jasminewind import members
 from _jasminewind import metrics
@@ -51,6 +50,7 @@
         self.meter = metrics.from_settings(chosen)
         self.ports: list[typing.Any] = []
         self.is_leaving = False
+        self.is_stopped = False
         self.leaving_since_s = 0.0
         self.node = self.new_node()
 
@@ -61,18 +61,8 @@
             # take most of the memory that a node may use.
             from _jasminewind.nodes import entry
 
-            return entry.Entry(
-                **self.common(), initial_config=self.initial_config()
-            )
-        seeds = tuple(
-            members.Address(seed.host, seed.port)
-            for seed in self.settings.seeds
-        )
-        return agents.Agent(
-            **self.common(),
-            seeds=seeds,
-            endpoint_lease_s=self.settings.endpoint_lease_s,
-        )
+            return entry.Entry.from_settings(self.settings, **self.common())
+        return agents.Agent.from_settings(self.settings, **self.common())
 
     def common(self) -> dict[str, typing.Any]:
         """Return the arguments that every role takes."""
@@ -87,15 +77,6 @@
             "rng": self.rng,
         }
 
-    def initial_config(self) -> configuration.Configuration | None:
-        """Return the configuration for an empty table, if one is set."""
-        path = self.settings.initial_config_file
-        if not path:
-            return None
-        from _jasminewind.nodes import initial
-
-        return initial.load(pathlib.Path(path))
-
     def start(self) -> None:
         """Open every port."""
         self.keep(self.node.links.listen())
@@ -142,6 +123,7 @@
         if self.is_leaving:
             self.log.warning("second signal; stopping with work running")
             self.stop()
+            self.end_reactor()
             return
         self.is_leaving = True
         self.leaving_since_s = self.reactor.seconds()
@@ -171,6 +153,9 @@
         if not self.reactor.running:
             self.reactor.callWhenRunning(self.stop)
             return
+        if self.is_stopped:
+            return
+        self.is_stopped = True
         self.node.stop()
         self.decision_log.close()
         for port in self.ports:
--- a/src/_jasminewind/nodes/entry.py
+++ b/src/_jasminewind/nodes/entry.py
@@ -4,6 +4,7 @@
 import dataclasses
 import itertools
 import math
+import pathlib
 import random
 import typing
 
@@ -16,6 +17,7 @@
 from _jasminewind import ids
 from _jasminewind import members
 from _jasminewind import metrics
+from _jasminewind import settings
 from _jasminewind import timers
 from _jasminewind.api import backend
 from _jasminewind.decisions import core
@@ -24,6 +26,7 @@
 from _jasminewind.decisions import proposals
 from _jasminewind.decisions import relay
 from _jasminewind.messages import work
+from _jasminewind.nodes import initial
 from _jasminewind.nodes import node
 from _jasminewind.nodes import releases
 from _jasminewind.platform import client
@@ -93,6 +96,15 @@
             self.add(decision)
         self.ticks.append(timer_service.every(REFRESH_PERIOD_S, self.refresh))
 
+    @classmethod
+    def from_settings(
+        cls, chosen: settings.Settings, **parts: typing.Any
+    ) -> "Entry":
+        """Return the entry of these settings; ``parts`` are the others."""
+        path = chosen.initial_config_file
+        found = initial.load(pathlib.Path(path)) if path else None
+        return cls(initial_config=found, **parts)
+
     # The interface of the remote calls.
 
     def new_id(self) -> str:
--- a/src/_jasminewind/wire/connections.py
+++ b/src/_jasminewind/wire/connections.py
@@ -108,6 +108,7 @@
         self.expected = expected
         self.peer: link_messages.Hello | None = None
         self.is_ready = False
+        self.greeted = False
         self.last_received_s = owner.seconds()
         self.ping_sent_s: float | None = None
         self.bytes_in = 0
@@ -144,11 +145,18 @@
         """Report the end of the connection."""
         self.lifecycle.lost(self.close_reason)
 
-    def send(self, message: object) -> None:
-        """Write one message."""
+    def send(self, message: object) -> bool:
+        """Write one message; return false for one above the frame limit.
+
+        The peer would close the connection on such a frame, and with it
+        lose every other message.
+        """
         payload = frames.encode(message)
+        if len(payload) > frames.MAX_FRAME_BYTES:
+            return False
         self.bytes_out += LENGTH_BYTES + len(payload)
         self.sendString(payload)
+        return True
 
     def ping(self, now_s: float) -> None:
         """Ask the peer for a sign of life."""
@@ -198,6 +206,7 @@
 
     def _tell_ready(self) -> None:
         self.is_ready = True
+        self.greeted = True
         self.owner.connection_ready(self)
 
     def _tell_closed(self, reason: str) -> None:
--- a/src/_jasminewind/wire/links.py
+++ b/src/_jasminewind/wire/links.py
@@ -44,6 +44,7 @@
 
     def __init__(self) -> None:
         self.messages: collections.deque[object] = collections.deque()
+        self.connection: connections.Connection | None = None
 
 
 Key = members.NodeId | members.Address
@@ -112,7 +113,8 @@
         """
         connection = self._ready_connection(to, address)
         if connection is not None:
-            connection.send(message)
+            if not connection.send(message):
+                self._fail_later(to, message)
         elif address == members.NO_ADDRESS:
             self._fail_later(to, message)
         else:
@@ -176,7 +178,8 @@
         for key in (node, address):
             waiting = self.waiting.pop(key, Waiting())
             for message in waiting.messages:
-                connection.send(message)
+                if not connection.send(message):
+                    self._fail_later(node, message)
         expected = connection.expected
         if expected not in (None, members.UNNAMED, node):
             # Another incarnation runs at this address, so that the
@@ -200,6 +203,8 @@
         self.open.discard(connection)
         self.closed_bytes_in += connection.bytes_in
         self.closed_bytes_out += connection.bytes_out
+        if not connection.greeted and connection.expected is not None:
+            self._refused_greeting(connection)
         node = connection.peer_node()
         if node is None:
             return
@@ -208,6 +213,14 @@
         if was_ready and not self.is_stopping:
             self.owner.link_lost(node)
 
+    def _refused_greeting(self, connection: connections.Connection) -> None:
+        """Report what waited for a connection that never became ready."""
+        for key, waiting in list(self.waiting.items()):
+            if waiting.connection is connection:
+                to = connection.expected
+                assert to is not None
+                self._give_up(to, key, waiting, connection)
+
     def _keep_port(self, port: typing.Any) -> typing.Any:
         self.port = port
         return port
@@ -237,6 +250,7 @@
     ) -> None:
         connection = self._new_connection(expected=to)
         waiting = self.waiting[key]
+        waiting.connection = connection
         endpoint = endpoints.TCP4ClientEndpoint(
             self.reactor,
             address.host,
--- /dev/null
+++ b/testing/wire/test_links.py
@@ -0,0 +1,309 @@
+"""Tests of links and probes over loopback."""
+
+import struct
+
+import pytest
+from twisted.internet import endpoints
+from twisted.internet import protocol
+
+from _jasminewind import members
+from _jasminewind import timers
+from _jasminewind.experiment import ports
+from _jasminewind.messages import links as link_messages
+from _jasminewind.messages import work
+from _jasminewind.wire import frames
+from _jasminewind.wire import links
+from _jasminewind.wire import probes
+from testing import reactor
+
+ALLOCATOR = ports.PortAllocator()
+
+
+class Peer(links.LinkOwner):
+    """A process that only has links, and keeps what they report."""
+
+    def __init__(self, name, *, incarnation=1, port=None, version=None):
+        self.node = members.NodeId(name, incarnation)
+        port = port or ALLOCATOR.take()
+        self.address = members.Address("127.0.0.1", port)
+        self.messages = []
+        self.lost = []
+        self.failed = []
+        hello = link_messages.Hello(
+            protocol_version=version or link_messages.PROTOCOL_VERSION,
+            sender=self.node,
+            address=self.address,
+            role=members.Role.AGENT,
+        )
+        self.links = links.Links(
+            reactor=reactor.reactor,
+            timer_service=timers.TimerService(clock=reactor.reactor),
+            hello=hello,
+            owner=self,
+        )
+
+    def link_message(self, sender, message):
+        """Keep a message."""
+        self.messages.append((sender, message))
+
+    def link_lost(self, peer):
+        """Keep the loss of a link."""
+        self.lost.append(peer)
+
+    def send_failed(self, peer, message):
+        """Keep a message that was not sent."""
+        self.failed.append((peer, message))
+
+    def send(self, to, message):
+        """Send a message to another peer."""
+        self.links.send(to.node, to.address, message)
+
+
+class Mute(protocol.Protocol):
+    """Accepts connections, keeps them open and never says a word.
+
+    With ``greeting`` it sends these bytes once.
+    """
+
+    greeting = b""
+
+    def connectionMade(self):  # noqa: N802
+        """Send the greeting."""
+        self.transport.write(self.greeting)
+
+
+@pytest.fixture
+def make_peer():
+    """Return a function that starts a peer; all are stopped at the end."""
+    started = []
+
+    def make(name, **fields):
+        async def start():
+            peer = Peer(name, **fields)
+            started.append(peer)
+            await peer.links.listen()
+            return peer
+
+        return reactor.run(start)
+
+    yield make
+    for peer in started:
+        reactor.run(peer.links.stop)
+
+
+@pytest.fixture
+def make_mute():
+    """Return a function that listens with a :class:`Mute` protocol."""
+    opened = []
+
+    def make(address, greeting=b""):
+        async def start():
+            kind = type("Greeting", (Mute,), {"greeting": greeting})
+            factory = protocol.Factory.forProtocol(kind)
+            endpoint = endpoints.TCP4ServerEndpoint(
+                reactor.reactor, address.port, interface=address.host
+            )
+            opened.append(await endpoint.listen(factory))
+
+        reactor.run(start)
+
+    yield make
+    for port in opened:
+        reactor.run(port.stopListening)
+
+
+@pytest.fixture
+def short_times(monkeypatch):
+    """Shorten the times after which a link counts as silent."""
+    for name in (
+        "GREETING_TIMEOUT_S",
+        "PING_AFTER_S",
+        "PING_TIMEOUT_S",
+        "CONNECT_TIMEOUT_S",
+    ):
+        monkeypatch.setattr(links, name, 0.3)
+    monkeypatch.setattr(links, "CHECK_PERIOD_S", 0.05)
+
+
+def cancel(number):
+    """Return a small message."""
+    return work.Cancel(work_id=f"id-{number}")
+
+
+def greeting_of(node, address):
+    """Return the frame with which a process identifies itself."""
+    hello = link_messages.Hello(
+        protocol_version=link_messages.PROTOCOL_VERSION,
+        sender=node,
+        address=address,
+        role=members.Role.AGENT,
+    )
+    payload = frames.encode(hello)
+    return struct.pack("!I", len(payload)) + payload
+
+
+def wait(condition):
+    """Wait until ``condition()`` is true."""
+    reactor.run(reactor.until, condition)
+
+
+def test_messages_wait_for_the_greeting_and_keep_their_order(make_peer):
+    """Guards against messages lost or reordered while a link opens."""
+    a, b = make_peer("a"), make_peer("b")
+    sent = [cancel(number) for number in range(20)]
+
+    def send():
+        for message in sent:
+            a.send(b, message)
+
+    reactor.run(send)
+    wait(lambda: len(b.messages) == 20)
+    assert b.messages == [(a.node, message) for message in sent]
+    reactor.run(b.send, a, cancel(99))
+    wait(lambda: a.messages)
+    assert a.messages == [(b.node, cancel(99))]
+    assert len(a.links.open) == len(b.links.open) == 1
+
+
+def test_other_protocol_version_is_refused(make_peer):
+    """Guards against messages that the other version misreads."""
+    a = make_peer("a")
+    old = make_peer("old", version=link_messages.PROTOCOL_VERSION + 1)
+    reactor.run(a.send, old, cancel(1))
+    wait(lambda: a.failed)
+    assert a.failed == [(old.node, cancel(1))]
+    assert old.messages == []
+    assert not a.links.is_linked(old.node)
+
+
+def test_message_to_a_replaced_incarnation_is_not_sent(make_peer):
+    """Guards against work of an earlier process given to the new one."""
+    a = make_peer("a")
+    new = make_peer("b", incarnation=2)
+    earlier = members.NodeId("b", 1)
+    reactor.run(a.links.send, earlier, new.address, cancel(1))
+    wait(lambda: a.failed)
+    assert a.failed == [(earlier, cancel(1))]
+    reactor.run(a.send, new, cancel(2))
+    wait(lambda: new.messages)
+    assert new.messages == [(a.node, cancel(2))]
+
+
+def test_silent_peer_is_detected_and_replaced(
+    short_times, make_peer, make_mute
+):
+    """Guards against an open connection that is silent for ever."""
+    a = make_peer("a")
+    address = members.Address("127.0.0.1", ALLOCATOR.take())
+    node = members.NodeId("b", 1)
+    make_mute(address, greeting_of(node, address))
+    reactor.run(a.links.send, node, address, cancel(1))
+    wait(lambda: a.links.is_linked(node))
+    wait(lambda: a.lost)
+    assert a.lost == [node]
+    assert not a.links.is_linked(node)
+    reactor.run(a.links.send, node, address, cancel(2))
+    wait(lambda: a.links.is_linked(node))
+
+
+def test_peer_without_a_greeting_is_given_up(
+    short_times, make_peer, make_mute
+):
+    """Guards against messages that wait for a frozen process for ever."""
+    a = make_peer("a")
+    address = members.Address("127.0.0.1", ALLOCATOR.take())
+    node = members.NodeId("b", 1)
+    make_mute(address)
+    reactor.run(a.links.send, node, address, cancel(1))
+    wait(lambda: a.failed)
+    assert a.failed == [(node, cancel(1))]
+    wait(lambda: not a.links.open)
+
+
+def test_idle_link_stays_open(short_times, make_peer):
+    """Guards against a link that is replaced because nobody used it."""
+    a, b = make_peer("a"), make_peer("b")
+    reactor.run(a.send, b, cancel(1))
+    wait(lambda: b.messages)
+    (connection,) = a.links.open
+    before = connection.bytes_in
+    # Two answered pings show that silence alone did not close the link.
+    wait(lambda: connection.bytes_in > before + 2 * links_pong_bytes())
+    assert a.lost == b.lost == []
+
+
+def links_pong_bytes():
+    """Return the size of the frame that answers a ping."""
+    return len(frames.encode(link_messages.Pong(nonce=1_000_000)))
+
+
+def test_oversized_message_is_not_sent(make_peer):
+    """Guards against one message that closes the link for all others."""
+    a, b = make_peer("a"), make_peer("b")
+    large = work.Cancel(work_id="x" * frames.MAX_FRAME_BYTES)
+
+    def send():
+        a.send(b, large)
+        a.send(b, cancel(1))
+
+    reactor.run(send)
+    wait(lambda: b.messages and a.failed)
+    reactor.run(send)
+    wait(lambda: len(b.messages) == 2 and len(a.failed) == 2)
+    assert {message for _, message in a.failed} == {large}
+    assert a.lost == b.lost == []
+
+
+def test_oversized_frame_closes_the_connection(make_peer):
+    """Guards against a peer that makes a process buffer without bound."""
+    b = make_peer("b")
+    closed = []
+
+    class Raw(protocol.Protocol):
+        def connectionMade(self):  # noqa: N802
+            size = frames.MAX_FRAME_BYTES + 1
+            self.transport.write(struct.pack("!I", size) + b"x" * 1024)
+
+        def connectionLost(self, reason=None):  # noqa: N802
+            closed.append(reason)
+
+    async def connect():
+        endpoint = endpoints.TCP4ClientEndpoint(
+            reactor.reactor, b.address.host, b.address.port
+        )
+        await endpoints.connectProtocol(endpoint, Raw())
+
+    reactor.run(connect)
+    wait(lambda: closed)
+    assert b.messages == []
+
+
+def test_probe_finds_the_process_at_an_address(make_peer):
+    """Guards against a takeover from a process that is alive."""
+    b = make_peer("b", incarnation=3)
+    wanted = members.NodeId("b", 2)
+    reply = reactor.run(probes.probe, reactor.reactor, wanted, b.address)
+    assert (reply.to, reply.found) == (wanted, b.node)
+
+
+def test_probe_of_a_frozen_process_finds_nobody(monkeypatch, make_mute):
+    """Guards against a process that counts as alive because it accepts."""
+    monkeypatch.setattr(probes, "PROBE_TIMEOUT_S", 0.3)
+    address = members.Address("127.0.0.1", ALLOCATOR.take())
+    node = members.NodeId("b", 1)
+    make_mute(address)
+    reply = reactor.run(probes.probe, reactor.reactor, node, address)
+    assert reply.found is None
+    other = members.Address("127.0.0.1", ALLOCATOR.take())
+    # A greeting that was written before the process froze proves nothing.
+    make_mute(other, greeting_of(node, other))
+    reply = reactor.run(probes.probe, reactor.reactor, node, other)
+    assert reply.found is None
+
+
+def test_probe_of_a_closed_port_finds_nobody():
+    """Guards against a probe that never ends when nothing listens."""
+    address = members.Address("127.0.0.1", ALLOCATOR.take())
+    node = members.NodeId("b", 1)
+    reply = reactor.run(probes.probe, reactor.reactor, node, address)
+    assert reply.found is None
