--- a/src/_jasminewind/nodes/entry.py
+++ b/src/_jasminewind/nodes/entry.py
@@ -36,7 +36,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class EntryStatus:
-    """Counts of an entry. Bytes are those of links since the start."""
+    """Counts of an entry. Bytes are those of links since the start.
+
+    ``messages`` are the messages sent on links since the start, by type.
+    """
 
     node: str
     config_version: int
@@ -47,6 +50,7 @@
     in_flight: int
     bytes_in: int
     bytes_out: int
+    messages: dict[str, int]
 
 
 class Entry(node.Node, backend.Backend):
@@ -196,12 +200,14 @@
     def is_ready(self) -> backend.Readiness:
         """Tell whether the entry is fresh and not shutting down."""
         reason = ""
-        if self.is_leaving:
-            reason = "it is shutting down"
-        elif self.config().version == 0:
+        if self.config().version == 0:
             reason = "it has no configuration yet"
         elif not self.config_sync.is_fresh(self.timers.now()):
             reason = "neither the table nor other entries answer it"
+        elif self.is_leaving:
+            return backend.Readiness(
+                ready=False, reason="it is shutting down", takes_work=True
+            )
         return backend.Readiness(ready=not reason, reason=reason)
 
     def now(self) -> core.Instant:
@@ -211,7 +217,7 @@
     # Life cycle.
 
     def begin_shutdown(self) -> None:
-        """Take no new work."""
+        """Fail the balancer's health check, so that no more work comes."""
         self.is_leaving = True
 
     def is_idle(self) -> bool:
@@ -233,6 +239,7 @@
             in_flight=self.relay.in_flight(),
             bytes_in=bytes_in,
             bytes_out=bytes_out,
+            messages=self.links.sent_counts(),
         )
 
     def stop(self) -> None:
--- a/src/_jasminewind/wire/links.py
+++ b/src/_jasminewind/wire/links.py
@@ -87,6 +87,7 @@
         self.port: typing.Any = None
         self.closed_bytes_in = 0
         self.closed_bytes_out = 0
+        self.sent: collections.Counter[str] = collections.Counter()
         self.is_stopping = False
         self.checks = timer_service.every(CHECK_PERIOD_S, self._check)
 
@@ -113,13 +114,23 @@
         """
         connection = self._ready_connection(to, address)
         if connection is not None:
-            if not connection.send(message):
-                self._fail_later(to, message)
+            self._write(to, connection, message)
         elif address == members.NO_ADDRESS:
             self._fail_later(to, message)
         else:
             self._wait(to, address, message)
 
+    def _write(
+        self,
+        to: members.NodeId,
+        connection: connections.Connection,
+        message: object,
+    ) -> None:
+        if not connection.send(message):
+            self._fail_later(to, message)
+            return
+        self.sent[type(message).__name__] += 1
+
     def _ready_connection(
         self, to: members.NodeId, address: members.Address
     ) -> connections.Connection | None:
@@ -148,6 +159,10 @@
         sent = sum(c.bytes_out for c in self.open)
         return self.closed_bytes_in + received, self.closed_bytes_out + sent
 
+    def sent_counts(self) -> dict[str, int]:
+        """Return the messages written since the start, by type."""
+        return dict(self.sent)
+
     def stop(self) -> None:
         """Close every link and accept none."""
         self.is_stopping = True
@@ -178,8 +193,7 @@
         for key in (node, address):
             waiting = self.waiting.pop(key, Waiting())
             for message in waiting.messages:
-                if not connection.send(message):
-                    self._fail_later(node, message)
+                self._write(node, connection, message)
         expected = connection.expected
         if expected not in (None, members.UNNAMED, node):
             # Another incarnation runs at this address, so that the
