Ask every later owner for a handed-over record

Cause: records go to the owner that follows the leaving one.

When none has a record, the answer is "may have run" at once.

--- a/src/_jasminewind/decisions/coordinator.py
+++ b/src/_jasminewind/decisions/coordinator.py
@@ -295,8 +295,12 @@
             and interval.owner not in self.addresses
         ):
             # The entry asks here because the earlier owner is gone, and
-            # it has not handed over a record of this id.
-            interval = None
+            # it has not handed over a record of this id, or to another
+            # process, which the entry then asks.
+            redirect = work.Redirect(
+                work_id=submit.work_id, owner=None, address=None
+            )
+            return [self.reply(each, redirect) for each in requesters]
         if interval is not None and interval.owner != self.member.node:
             redirect = work.Redirect(
                 work_id=submit.work_id,
--- a/src/_jasminewind/decisions/directory.py
+++ b/src/_jasminewind/decisions/directory.py
@@ -108,16 +108,19 @@
             return row.current
         return next((i for i in row.earlier if i.covers(time_ms)), None)
 
-    def heir_of(self, work_id: str) -> shards.Interval | None:
-        """Return the current interval of a shard, for an id below it.
+    def heirs_of(self, work_id: str) -> tuple[shards.Interval, ...]:
+        """Return the intervals above an id, the current one first.
 
-        Its owner cannot start the id, but may have the record that the
-        earlier owner handed over when it left.
+        Their owners cannot start the id. The one that owned the shard when
+        an earlier owner left has the records that were handed over.
         """
         row = self.rows.get(self.shard_of(work_id))
-        if row is None or ids.time_ms(work_id) > row.current.floor_ms:
-            return None
-        return row.current
+        if row is None:
+            return ()
+        time_ms = ids.time_ms(work_id)
+        known = (row.current, *row.earlier)
+        above = (i for i in known if time_ms <= i.floor_ms)
+        return tuple(sorted(above, key=lambda i: i.epoch, reverse=True))
 
     def shard_for_new(self, now: core.Instant) -> int | None:
         """Return a shard whose owner lives and has the least to do.
--- a/src/_jasminewind/decisions/relay.py
+++ b/src/_jasminewind/decisions/relay.py
@@ -39,7 +39,8 @@
     now, if any; ``must_resend`` says that it may not have got its copy.
     ``lost_since_s`` is when the owner could no longer be asked.
     ``asks_heir`` says that the earlier owner of the id is gone and the
-    current one is asked for the record that was handed over. ``refusal``
+    later ones are asked for the record that was handed over; ``ignorant``
+    are those that have none. ``refusal``
     is why this entry does not take the work; the owner is then asked only
     whether the id is known, and what it answers decides.
     """
@@ -61,6 +62,7 @@
     lost_since_s: float | None = None
     asks_heir: bool = False
     refusal: errors.WorkError | None = None
+    ignorant: set[members.NodeId] = dataclasses.field(default_factory=set)
 
     def note_sent(self, node: members.NodeId) -> None:
         """Count a copy that may reach ``node``."""
@@ -368,19 +370,25 @@
         pending.asks_heir = False
         if pending.never_ran():
             return self.directory.owner_of(work_id)
-        owner = self._best_informed(work_id)
+        owner = self._best_informed(work_id, pending.ignorant)
         pending.asks_heir = owner != self.directory.owner_of(work_id)
         return owner
 
-    def _best_informed(self, work_id: str) -> shards.Interval | None:
-        """Return the owner of an id, or its heir when the owner is gone."""
+    def _best_informed(
+        self,
+        work_id: str,
+        ignorant: collections.abc.Collection[members.NodeId] = (),
+    ) -> shards.Interval | None:
+        """Return the owner of an id, or an heir when the owner is gone."""
         owner = self.directory.owner_of(work_id)
         if owner is not None and self.directory.member_at(owner.owner):
             return owner
-        heir = self.directory.heir_of(work_id)
-        if heir is None or not self.directory.is_alive(heir.owner):
-            return owner
-        return heir
+        for heir in self.directory.heirs_of(work_id):
+            if heir.owner in ignorant:
+                continue
+            if self.directory.is_alive(heir.owner):
+                return heir
+        return owner
 
     def _must_ask(self, pending: Pending, node: members.NodeId) -> bool:
         """Tell whether to send a copy to ``node`` now.
@@ -506,6 +514,8 @@
         pending.must_resend = True
         if pending.lost_since_s is None:
             pending.lost_since_s = now.mono_s
+        if pending.asks_heir and message.owner is None:
+            return self._ask_next_heir(pending, sender, now)
         followed = (
             message.owner is not None
             and message.address is not None
@@ -519,6 +529,21 @@
         self._retry_at(pending, now.mono_s + RESEND_PERIOD_S)
         return []
 
+    def _ask_next_heir(
+        self, pending: Pending, sender: members.NodeId, now: core.Instant
+    ) -> core.Actions:
+        """Ask another later owner after one that has no record."""
+        pending.ignorant.add(sender)
+        self._holder(pending)
+        if pending.asks_heir:
+            return self._try_send(pending, now)
+        return self._fail(
+            pending,
+            errors.Code.UNAVAILABLE,
+            "the owner of this id is gone and its record was not handed "
+            "over; submit the work with a new id if that is safe",
+        )
+
     def _expire(self, pending: Pending) -> core.Actions:
         if pending.lost_since_s is not None or not pending.sent_to:
             return self._fail(
--- a/testing/decisions/test_relay.py
+++ b/testing/decisions/test_relay.py
@@ -417,3 +417,50 @@
     ((_, answer),) = ended
     assert answer.error is not None
     assert answer.error.outcome is errors.Outcome.MAY_HAVE_RUN
+
+
+def moved_on(entry: Entry) -> tuple[str, core.Actions]:
+    """Let an owner leave to ``OTHER`` and the shard move to a third one."""
+    third = fleets.agent_record(2)
+    first = fleets.shard_row(0, OWNER, ceiling_ms=WALL_MS + 1).current
+    second = fleets.shard_row(
+        0, OTHER, epoch=2, floor_ms=WALL_MS + 1, ceiling_ms=WALL_MS + 2
+    ).current
+    work_id, _ = entry.submit(1)
+    entry.announce(
+        fleets.shard_row(
+            0,
+            third,
+            epoch=3,
+            floor_ms=WALL_MS + 2,
+            earlier=(second, first),
+        )
+    )
+    entry.report(1.0, OTHER, third)
+    entry.relay.on_link_lost(OWNER.node, instant(1))
+    actions = entry.relay.on_tick(instant(2))
+    assert [s.to for s in sends(actions)] == [third.node]
+    nothing = work.Redirect(work_id=work_id, owner=None, address=None)
+    return work_id, entry.relay.on_message(third.node, nothing, instant(2))
+
+
+def test_every_later_owner_is_asked_for_a_record() -> None:
+    """Guards against a record lost when a shard moves after a leave."""
+    entry = Entry()
+    work_id, actions = moved_on(entry)
+    (sent,) = sends(actions)
+    assert isinstance(sent.message, work.Submit)
+    assert (sent.to, sent.message.join_only) == (OTHER.node, True)
+    answer = complete(work_id)
+    done = entry.relay.on_message(OTHER.node, answer, instant(3))
+    assert answers(done) == [(1, answer)]
+
+
+def test_id_that_no_later_owner_knows_may_have_run() -> None:
+    """Guards against a caller that waits although nobody can know."""
+    entry = Entry()
+    work_id, _ = moved_on(entry)
+    nothing = work.Redirect(work_id=work_id, owner=None, address=None)
+    ended = entry.relay.on_message(OTHER.node, nothing, instant(3))
+    assert failure(ended).outcome is errors.Outcome.MAY_HAVE_RUN
+    assert entry.relay.in_flight() == 0
