Begin no move of a shard before the table answers

Cause: with the table down, an owner that held two shards more than another closed one to move it to a member that was a successor already. The takeover and the closing of the row need the table, so the shard was refused for the rest of the outage (seen with real processes: shard 4 of 8 for over 20 s). Change: a move writes the row first and goes on once that write is confirmed.

--- a/src/_jasminewind/decisions/departures.py
+++ b/src/_jasminewind/decisions/departures.py
@@ -57,7 +57,7 @@
         self.sequence = 0
         self.leaving = False
         self.moved_s = 0.0
-        self.wanted: dict[int, members.NodeId] = {}
+        self.wanted: dict[int, Move] = {}
 
     def begin_leave(self, now: core.Instant) -> core.Actions:
         """Start to give away every shard."""
@@ -138,12 +138,20 @@
         ]
 
     def balance(self, now: core.Instant) -> core.Actions:
-        """Move a shard when another member has at least two fewer."""
-        for shard, target in tuple(self.wanted.items()):
-            del self.wanted[shard]
+        """Move a shard when another member has at least two fewer.
+
+        The row is written first, also when it names the target already. A
+        move that begins while the table does not answer would leave the
+        shard closed until the table returns.
+        """
+        for shard, wanted in tuple(self.wanted.items()):
             holding = self.owned.current.get(shard)
-            if holding is None or holding.write is not None:
+            if holding is not None and holding.write is not None:
+                continue
+            del self.wanted[shard]
+            if holding is None or holding.version <= wanted.version:
                 continue
+            target = wanted.target
             if any(s.node == target for s in holding.row.successors):
                 self.depart(shard, target)
                 return self.push(shard, now)
@@ -155,9 +163,10 @@
         self.moved_s = now.mono_s
         shard, target = choice.shard, choice.target
         holding = self.owned.current[shard]
-        self.wanted[shard] = target
-        if any(s.node == target for s in holding.row.successors):
-            return []
+        self.wanted[shard] = choice
+        named = holding.row.successors
+        if any(s.node == target for s in named):
+            return self.owned.write(holding, named, now)
         named = self.cell.successors(shard, prefer=target)
         return self.owned.write(holding, named, now)
 
@@ -182,7 +191,12 @@
         ]
         if own - fewest < 2 or not movable:
             return None
-        return Move(shard=max(movable), target=target)
+        shard = max(movable)
+        return Move(
+            shard=shard,
+            target=target,
+            version=self.owned.current[shard].version,
+        )
 
     def hand_over(
         self, shard: int, answers: tuple[work.Answer, ...], epoch: int
@@ -252,10 +266,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Move:
-    """A shard to move and its new owner."""
+    """A shard to move, its new owner, and the row version before that."""
 
     shard: int
     target: members.NodeId
+    version: int
 
 
 def closed_for_release(
--- a/testing/decisions/test_ownership.py
+++ b/testing/decisions/test_ownership.py
@@ -218,3 +218,21 @@
     cell.advance(5.0)
     successors = owner.ownership.rows()[0].successors
     assert heir not in [each.node for each in successors]
+
+
+def test_no_shard_moves_while_the_table_is_down():
+    """Guards against a move that closes a shard until the table returns."""
+    cell = fakes.Cell(count=3, shard_count=8)
+    cell.advance(5.0)
+    counts = [len(node.ownership.owned()) for node in cell.nodes]
+    assert max(counts) - min(counts) >= 2
+    cell.table.mode = fakes.TableMode.OUTAGE
+    cell.advance(40.0)
+    held = [n.held(shard) for n in cell.nodes for shard in range(8)]
+    wall_ms = cell.at(cell.nodes[0]).wall_ms
+    serving = [h for each in held for h in each if h[1] >= wall_ms]
+    assert len(serving) == 8
+    cell.table.mode = fakes.TableMode.OK
+    cell.advance(60.0)
+    counts = [len(node.ownership.owned()) for node in cell.nodes]
+    assert max(counts) - min(counts) <= 1
--- a/testing/fleet/test_processes.py
+++ b/testing/fleet/test_processes.py
@@ -10,6 +10,7 @@
 
 # Longer than the 3 s after which a successor takes a shard over.
 PAUSED_S = 8.0
+SEARCH_S = 5.0
 
 
 def submit_later(pool, client, works):
@@ -17,14 +18,16 @@
     return [pool.submit(client.settle, work) for work in works]
 
 
-def long_work(client, shards, *, run_s=1.0):
-    """Return a job and a request on each shard."""
+def long_work(client, shards):
+    """Return a job and a request on each shard.
+
+    An entry looks for the owner of an id for 15 s or until the deadline.
+    """
+    kind = {"run_s": 1.0, "deadline_s": SEARCH_S}
     works = []
     for shard in shards:
-        works.append(client.new(shard=shard, run_s=run_s))
-        works.append(
-            client.new(shard=shard, run_s=run_s, tasks=4, is_job=True)
-        )
+        works.append(client.new(shard=shard, **kind))
+        works.append(client.new(shard=shard, tasks=4, is_job=True, **kind))
     return works
 
 
@@ -65,7 +68,7 @@
         for shard in shards:
             client.complete_one(shard=shard)
         replies = [future.result() for future in futures + again]
-    later = [client.settle(work) for work in works]
+        later = list(pool.map(client.settle, works))
     assert all(reply.outcome != "NOT_RUN" for reply in replies + later)
     oracle.check(client)
 
