Bound the deadlines of background traffic in failure tests

An entry looks for a dead owner for 15 s or until the deadline, so traffic with 30 s deadlines kept tests with a killed coordinator waiting: 31 to 37 s each.

--- a/testing/fleet/traffic.py
+++ b/testing/fleet/traffic.py
@@ -22,6 +22,9 @@
 LOST = "LOST"
 COMPLETE = "COMPLETE"
 DEADLINE_S = 30.0
+# An entry looks for the owner of an id for 15 s or until the deadline. A
+# test that ends with such submissions waits for them.
+TRAFFIC_DEADLINE_S = 5.0
 PAUSE_S = 0.05
 MAX_SENDS = 40
 
@@ -123,6 +126,7 @@
         self.rng = random.Random(seed)
         self.lock = threading.Lock()
         self.replies: list[Reply] = []
+        self.draw_deadline_s = TRAFFIC_DEADLINE_S
 
     def new(
         self,
@@ -189,21 +193,33 @@
             method = ONCE if self.rng.random() < 0.5 else REPEATABLE
             tasks = self.rng.randint(2, 6) if is_job else 1
             run_s = self.rng.choice((0.01, 0.03, 0.1))
-        return self.new(method=method, tasks=tasks, is_job=is_job, run_s=run_s)
+        return self.new(
+            method=method,
+            tasks=tasks,
+            is_job=is_job,
+            run_s=run_s,
+            deadline_s=self.draw_deadline_s,
+        )
 
 
 class Traffic:
-    """Threads that submit until they are told to stop."""
+    """Threads that submit until they are told to stop.
+
+    Some submissions are repeated, ``direct`` to each entry in turn or else
+    through the balancer.
+    """
 
     def __init__(
         self,
         client: Client,
         *,
         threads: int = 6,
+        direct: bool = True,
         draw: collections.abc.Callable[[], Work] | None = None,
     ) -> None:
         self.client = client
         self.draw = draw or client.draw
+        self.direct = direct
         self.ending = threading.Event()
         self.pool = concurrent.futures.ThreadPoolExecutor(threads)
         self.running = [self.pool.submit(self.run) for _ in range(threads)]
@@ -227,5 +243,6 @@
             count += 1
             if count % 5 == 0:
                 entries = len(self.client.system.layout.entries)
-                self.client.submit(work, entry=count // 5 % entries)
+                entry = count // 5 % entries if self.direct else None
+                self.client.submit(work, entry=entry)
             self.ending.wait(PAUSE_S)
