End a graceful shutdown while a connection is attempted

Cause: an agent that left while an attempt to connect was under way (to a process that had been killed) raised AttributeError in Links.stop, whose timer then ended, so that the process never exited and kept its port. Seen in test_graceful_shutdown_with_work_running[agent] after tests that kill and pause processes: no exit within 30 s, the replacement could not listen. Change: closing skips connections without a transport. Conclusion: testing/wire/test_links.py fails before (AttributeError) and passes after; 10 wire tests pass.

--- a/src/_jasminewind/wire/links.py
+++ b/src/_jasminewind/wire/links.py
@@ -153,6 +153,9 @@
         if self.port is not None:
             self.port.stopListening()
         for connection in list(self.open):
+            # An attempt that is still under way has no transport.
+            if connection.transport is None:
+                continue
             # A graceful close lets written messages reach the peer.
             typing.cast(typing.Any, connection.transport).loseConnection()
 
--- /dev/null
+++ b/testing/wire/test_links.py
@@ -0,0 +1,44 @@
+"""Tests of links that need no sockets."""
+
+from twisted.internet import testing as twisted_testing
+
+from _jasminewind import members
+from _jasminewind import timers
+from _jasminewind.messages import links as link_messages
+from _jasminewind.wire import links
+
+
+class Owner(links.LinkOwner):
+    """Takes what the links report and does nothing."""
+
+    def link_message(self, sender, message):
+        """Ignore a message."""
+
+    def link_lost(self, peer):
+        """Ignore a lost link."""
+
+    def send_failed(self, peer, message):
+        """Ignore a message that was not sent."""
+
+
+def test_stop_while_a_connection_is_attempted():
+    """Guards against a graceful shutdown that never ends."""
+    reactor = twisted_testing.MemoryReactorClock()
+    node = members.NodeId("agent-0", 1)
+    address = members.Address("127.0.0.1", 10_000)
+    found = links.Links(
+        reactor=reactor,
+        timer_service=timers.TimerService(clock=reactor, wall_ms=lambda: 0),
+        hello=link_messages.Hello(
+            protocol_version=link_messages.PROTOCOL_VERSION,
+            sender=node,
+            address=address,
+            role=members.Role.AGENT,
+        ),
+        owner=Owner(),
+    )
+    peer = members.NodeId("agent-1", 1)
+    found.send(peer, address, link_messages.Ping(nonce=1))
+    assert found.open
+    found.stop()
+    assert found.is_stopping
