--- /dev/null
+++ b/bench/costs_work.py
@@ -0,0 +1,181 @@
+"""Costs of work in the coordinator, the keeper, frames and the log."""
+
+import io
+import random
+
+from twisted.internet import task
+
+from _jasminewind import logs
+from _jasminewind import members
+from _jasminewind import resources
+from _jasminewind import timers
+from _jasminewind.decisions import core
+from _jasminewind.decisions import keeper
+from _jasminewind.messages import tasks
+from _jasminewind.messages import work
+from _jasminewind.wire import frames
+from bench import costs
+from bench import dispatcher_cost
+
+KEEPERS = 128
+STARTS = 4_000
+BATCHES = 40
+ROUNDS = 50
+COORDINATOR = members.NodeId("coordinator", 1)
+KEEPER = members.NodeId("keeper", 1)
+NOW = core.Instant(1.0, dispatcher_cost.START_WALL_MS)
+TASK = work.Task(name="task", service="orders", method="quote")
+
+
+def measure() -> list[costs.Cost]:
+    """Return the costs of work."""
+    return [
+        costs.sweep(
+            "coordinator, a job",
+            job_us,
+            (1, 10, 40, 110),
+            size_unit="tasks",
+            unit="us",
+            note="decisions alone, 128 keepers, twice the load they hold",
+        ),
+        costs.sweep(
+            "coordinator, a request",
+            request_us,
+            (10, 32, 64, 128),
+            size_unit="keepers",
+            unit="us",
+            note="decisions alone, twice the load that keepers hold",
+        ),
+        costs.sweep(
+            "keeper, a batch of starts",
+            keeper_us,
+            (1, 10, 50, 110),
+            size_unit="tasks",
+            unit="us",
+            note="start, end, result and acknowledgement of each task",
+        ),
+        costs.sweep(
+            "frames, a batch of starts",
+            frames_us,
+            (1, 10, 50, 110),
+            size_unit="tasks",
+            unit="us",
+            note="encode and decode of one StartTasks, both sides",
+        ),
+        costs.sweep(
+            "decision log, lines written",
+            lambda count: log_us(count, share=1.0),
+            (100, 300, 1_000, 3_000),
+            size_unit="lines",
+            unit="us",
+        ),
+        costs.sweep(
+            "decision log, lines sampled out",
+            lambda count: log_us(count, share=0.0),
+            (100, 300, 1_000, 3_000),
+            size_unit="lines",
+            unit="us",
+        ),
+    ]
+
+
+def job_us(count: int) -> float:
+    """Return the processor time of a job of ``count`` tasks."""
+    cost_us = dispatcher_cost.cost(
+        keepers=KEEPERS, count=count, is_job=True, starts=STARTS
+    )
+    return cost_us.per_start_us * count
+
+
+def request_us(keepers: int) -> float:
+    """Return the processor time of one request."""
+    return dispatcher_cost.cost(
+        keepers=keepers, count=1, is_job=False, starts=STARTS
+    ).per_start_us
+
+
+def batch(number: int, count: int) -> tasks.StartTasks:
+    """Return a message that starts ``count`` tasks of one job."""
+    work_id = f"0192d3c0-0000-7000-8000-{number:012x}"
+    return tasks.StartTasks(
+        keeper=KEEPER,
+        starts=tuple(
+            tasks.TaskStart(
+                key=tasks.TaskKey(work_id, index, 0),
+                team="team-1",
+                task=TASK,
+                budget_s=30.0,
+                is_long=False,
+            )
+            for index in range(count)
+        ),
+        config_version=1,
+    )
+
+
+def keeper_us(count: int) -> float:
+    """Return the processor time of ``count`` tasks of one batch."""
+    target = keeper.Keeper(node=KEEPER)
+    capacity = resources.Resources(slots=float(count))
+    endpoint = members.Endpoint(
+        name="minion",
+        kind=members.EndpointKind.MINION,
+        service="orders",
+        capacity=capacity,
+        connections=count,
+    )
+    target.on_announce(endpoint, NOW)
+    target.on_attached((), NOW)
+    batches = [batch(number, count) for number in range(BATCHES)]
+
+    def run() -> None:
+        for message in batches:
+            target.on_message(COORDINATOR, message, NOW)
+            keys = tuple(start.key for start in message.starts)
+            for key in keys:
+                target.on_task_end(core.TaskEnd(key=key, run_s=0.2), NOW)
+            ack = tasks.ResultsAck(keys=keys)
+            target.on_message(COORDINATOR, ack, NOW)
+
+    cost_us = costs.processor_us(run) / BATCHES
+    if target.sequence == 0 or target.queue:
+        raise RuntimeError("the keeper did not run every task")
+    return cost_us
+
+
+def frames_us(count: int) -> float:
+    """Return the processor time of a batch in the codec."""
+    message = batch(1, count)
+
+    def run() -> None:
+        for _ in range(ROUNDS):
+            frames.decode(frames.encode(message)).unwrap()
+
+    return costs.processor_us(run) / ROUNDS
+
+
+def log_us(count: int, *, share: float) -> float:
+    """Return the processor time of ``count`` decisions in the log."""
+    logs.configure(stream=io.StringIO())
+    log = logs.DecisionLog(
+        timer_service=timers.TimerService(clock=task.Clock()), share=share
+    )
+    rng = random.Random(1)
+    lines = [
+        core.LogDecision(
+            kind="route",
+            work_id=f"0192d3c0-0000-7000-8000-{rng.getrandbits(48):012x}",
+            task="task-1",
+            team="team-1",
+            candidates=tuple(f"keeper-{n}" for n in range(5)),
+            choice="keeper-1",
+            reason="earliest expected completion",
+        )
+        for _ in range(count)
+    ]
+
+    def run() -> None:
+        for line in lines:
+            log.decision(line)
+
+    return costs.processor_us(run)
--- a/bench/dispatcher_cost.py
+++ b/bench/dispatcher_cost.py
@@ -5,6 +5,7 @@
 the submission to the answer, results included.
 """
 
+import dataclasses
 import random
 import time
 
@@ -116,9 +117,9 @@
     def call(self, method: object, *args: object) -> None:
         """Call the coordinator, count its time and carry out actions."""
         now = core.Instant(self.now_s, START_WALL_MS + int(self.now_s * 1000))
-        start_s = time.perf_counter()
+        start_s = time.process_time()
         actions = method(*args, now)
-        self.spent_s += time.perf_counter() - start_s
+        self.spent_s += time.process_time() - start_s
         for action in actions:
             if not isinstance(action, core.Send):
                 continue
@@ -184,10 +185,23 @@
             self.call(self.target.on_message, node, message)
 
 
-def measure(
-    *, keepers: int, count: int, is_job: bool, policy: str, starts: int
-) -> str:
-    """Return one line with the cost per start."""
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StartCost:
+    """Processor time and messages of the coordinator per task start."""
+
+    per_start_us: float
+    messages: float
+
+
+def cost(
+    *,
+    keepers: int,
+    count: int,
+    is_job: bool,
+    starts: int,
+    policy: str = "expected_completion",
+) -> StartCost:
+    """Return the cost per start of work of one shape."""
     bench = Bench(keepers=keepers, is_job=is_job, policy=policy)
     per_keeper = CORES / TASK_CORES if is_job else SLOTS
     target = int(keepers * per_keeper * OFFERED / count) + 1
@@ -198,12 +212,28 @@
         bench.end_some()
         bench.now_s += RUN_S / 4
         bench.call(bench.target.on_tick)
-    cost_us = bench.spent_s / bench.starts * 1e6
+    return StartCost(
+        per_start_us=bench.spent_s / bench.starts * 1e6,
+        messages=bench.messages / bench.starts,
+    )
+
+
+def measure(
+    *, keepers: int, count: int, is_job: bool, policy: str, starts: int
+) -> str:
+    """Return one line with the cost per start."""
+    found = cost(
+        keepers=keepers,
+        count=count,
+        is_job=is_job,
+        policy=policy,
+        starts=starts,
+    )
     kind = "job" if is_job else "request"
-    per_start = bench.messages / bench.starts
     return (
         f"{policy:20} {kind:8} keepers={keepers:4} tasks={count:4} "
-        f"{cost_us:7.1f} us/start {per_start:5.2f} messages/start"
+        f"{found.per_start_us:7.1f} us/start "
+        f"{found.messages:5.2f} messages/start"
     )
 
 
--- /dev/null
+++ b/bench/fits.py
@@ -0,0 +1,87 @@
+"""Linear fits of measured costs, with their spread."""
+
+import collections.abc
+import dataclasses
+
+import numpy
+
+# Two-sided 95% points of Student's t distribution, by degrees of freedom
+# from 1. Beyond the table the normal distribution is close enough.
+T_95 = (
+    12.706,
+    4.303,
+    3.182,
+    2.776,
+    2.571,
+    2.447,
+    2.365,
+    2.306,
+    2.262,
+    2.228,
+    2.201,
+    2.179,
+    2.160,
+    2.145,
+    2.131,
+    2.120,
+    2.110,
+    2.101,
+    2.093,
+    2.086,
+)
+T_95_LARGE = 1.96
+MIN_POINTS = 3
+
+
+class FitError(Exception):
+    """Points through which no line with a spread can be drawn."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Fit:
+    """``cost = intercept + slope * size``.
+
+    ``half_width`` is half of the 95% confidence interval of the slope, and
+    ``residual`` is the root mean square distance of the points.
+    """
+
+    slope: float
+    intercept: float
+    half_width: float
+    residual: float
+
+    def at(self, size: float) -> float:
+        """Return the cost at ``size``."""
+        return self.intercept + self.slope * size
+
+
+def linear(
+    sizes: collections.abc.Sequence[float],
+    costs: collections.abc.Sequence[float],
+) -> Fit:
+    """Return the least-squares line through the points."""
+    if len(sizes) != len(costs):
+        raise FitError(f"{len(sizes)} sizes but {len(costs)} costs")
+    if len(sizes) < MIN_POINTS or len(set(sizes)) < 2:
+        raise FitError(
+            f"a fit needs {MIN_POINTS} points at two sizes or more"
+        )
+    x = numpy.asarray(sizes, dtype=float)
+    y = numpy.asarray(costs, dtype=float)
+    spread = float(numpy.sum((x - x.mean()) ** 2))
+    slope = float(numpy.sum((x - x.mean()) * (y - y.mean()))) / spread
+    intercept = float(y.mean()) - slope * float(x.mean())
+    squares = float(numpy.sum((y - intercept - slope * x) ** 2))
+    freedom = len(sizes) - 2
+    error = (squares / freedom / spread) ** 0.5
+    return Fit(
+        slope=slope,
+        intercept=intercept,
+        half_width=error * t_95(freedom),
+        residual=(squares / len(sizes)) ** 0.5,
+    )
+
+
+def t_95(freedom: int) -> float:
+    """Return the 95% point of Student's t distribution."""
+    return T_95[freedom - 1] if freedom <= len(T_95) else T_95_LARGE
--- /dev/null
+++ b/bench/scale.py
@@ -0,0 +1,471 @@
+"""Measures a fleet of real processes on loopback (``make scale``).
+
+Writes ``build/scale.json`` and prints each value with its bound. A missed
+bound does not fail the run. Bytes are those on the links between
+processes for agents, and all TCP bytes for entries.
+"""
+
+import collections.abc
+import concurrent.futures
+import dataclasses
+import json
+import pathlib
+import statistics
+import tempfile
+import threading
+import time
+import typing
+
+import fire
+import msgspec
+
+from _jasminewind import members
+from _jasminewind import settings
+from _jasminewind.decisions import cells
+from _jasminewind.experiment import deployments
+from _jasminewind.experiment import fleets
+from _jasminewind.experiment import layout as layouts
+from _jasminewind.experiment import ports
+from bench import processes
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+EXAMPLE = ROOT / "examples/karri-creek/config.json"
+TARGET = ROOT / "build/scale.json"
+CELLS = 2
+SHARDS = 16
+BATCH = 10
+BATCH_PAUSE_S = 1.0
+READY_LIMIT_S = 180.0
+SETTLE_S = 30.0
+WINDOW_S = 20.0
+CONVERGE_LIMIT_S = 110.0
+CONFIG_LIMIT_S = 30.0
+CONFIG_CHANGES = 5
+POLLERS = 16
+POLL_S = 1.0
+# Lines of the decision log that a node at the target size would write.
+LOG_SHARE = 0.01
+LOAD_CALLERS = 6
+JOB_TASKS = 20
+TASK_RUN_S = 0.2
+CORE_BOUND_PERCENT = 4.1
+MEMORY_BOUND_MB = 64.0
+BYTES_BOUND_PER_S = 19_000.0
+CONFIG_BOUND_S = 3.0
+JOB = "jasminewind.v1.JobService/SubmitJob"
+CHANGE = "jasminewind.v1.ConfigService/ProposeChange"
+
+Status = dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Figure:
+    """One measured value; ``bound`` is ``None`` where no budget applies."""
+
+    name: str
+    value: float
+    unit: str
+    bound: float | None = None
+    load_average: float
+
+    def verdict(self) -> str:
+        """Return whether the bound is met."""
+        if self.bound is None:
+            return "no bound"
+        return "met" if self.value <= self.bound else "MISSED"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Sample:
+    """Use of one process at one moment; ``traffic`` is in bytes."""
+
+    usage: processes.Usage
+    traffic: int
+
+
+class Scale:
+    """A fleet under measurement."""
+
+    def __init__(self, fleet: fleets.Fleet) -> None:
+        self.fleet = fleet
+        self.figures: list[Figure] = []
+        self.pool = concurrent.futures.ThreadPoolExecutor(POLLERS)
+        self.agents = tuple(a.name for a in fleet.layout.agents)
+        self.entries = tuple(e.name for e in fleet.layout.entries)
+
+    def note(
+        self, name: str, value: float, unit: str, bound: float | None = None
+    ) -> None:
+        """Keep a figure and print it."""
+        figure = Figure(
+            name=name,
+            value=round(value, 3),
+            unit=unit,
+            bound=bound,
+            load_average=processes.load_average(),
+        )
+        self.figures.append(figure)
+        limit = "" if bound is None else f"bound {bound:g}"
+        print(
+            f"{name:48} {figure.value:12.3f} {unit:12} {limit:12} "
+            f"{figure.verdict():9} load {figure.load_average}",
+            flush=True,
+        )
+
+    def start(self) -> None:
+        """Start the fleet in batches and wait until it takes work."""
+        began_s = time.monotonic()
+        self.fleet.start_standins()
+        layout = self.fleet.layout
+        for chosen in layout.entries:
+            self.fleet.start_daemon(chosen)
+        for index, chosen in enumerate(layout.agents):
+            self.fleet.start_daemon(chosen)
+            if index % BATCH == BATCH - 1:
+                time.sleep(BATCH_PAUSE_S)
+        started_s = time.monotonic()
+        self.note("start of all processes", started_s - began_s, "s")
+        self.wait(self.is_ready, READY_LIMIT_S, "the fleet is not ready")
+        ready_s = time.monotonic()
+        self.note("all ready after the first start", ready_s - began_s, "s")
+        self.note("all ready after the last start", ready_s - started_s, "s")
+
+    def wait(
+        self,
+        done: collections.abc.Callable[[], bool],
+        limit_s: float,
+        message: str,
+    ) -> bool:
+        """Return whether ``done`` became true within the limit."""
+        until_s = time.monotonic() + limit_s
+        while not done():
+            if time.monotonic() > until_s:
+                print(f"{message} after {limit_s:g} s", flush=True)
+                return False
+            time.sleep(POLL_S)
+        return True
+
+    def is_ready(self) -> bool:
+        """Tell whether every process takes work and knows its cell."""
+        statuses = self.statuses(self.alive())
+        if any(status.get("state") != "serving" for status in statuses):
+            return False
+        return self.has_converged() and self.is_owned()
+
+    def is_owned(self) -> bool:
+        """Tell whether every entry knows a live owner of every shard."""
+        return all(map(self.fleet.is_owned, range(len(self.entries))))
+
+    def has_converged(self) -> bool:
+        """Tell whether every view holds exactly the live members."""
+        alive = self.alive()
+        sizes = collections.Counter(map(cell_of, alive))
+        statuses = self.statuses(alive)
+        return all(
+            status.get("member_count") == sizes[cell_of(name)]
+            for name, status in zip(alive, statuses, strict=True)
+        )
+
+    def alive(self) -> tuple[str, ...]:
+        """Return the agents that run."""
+        return tuple(n for n in self.agents if n in self.fleet.processes)
+
+    def statuses(self, names: tuple[str, ...]) -> list[Status]:
+        """Return the status of each agent, empty where it has none."""
+        return list(self.pool.map(self.status, names))
+
+    def status(self, name: str) -> Status:
+        """Return the status of one agent, empty if it does not answer."""
+        try:
+            return self.fleet.agent_status(name)
+        except OSError:
+            return {}
+
+    def sample(self) -> dict[str, Sample]:
+        """Return what every process has used."""
+        alive = self.alive()
+        traffic = {
+            name: status.get("bytes_in", 0) + status.get("bytes_out", 0)
+            for name, status in zip(alive, self.statuses(alive), strict=True)
+        }
+        sockets = processes.socket_bytes()
+        found = {}
+        for name in (*alive, *self.entries):
+            pid = self.fleet.processes[name].pid
+            found[name] = Sample(
+                usage=processes.usage(pid),
+                traffic=traffic.get(name, sockets.get(pid, 0)),
+            )
+        return found
+
+    def duties(self) -> dict[str, str]:
+        """Return the heaviest duty that each process holds."""
+        found = dict.fromkeys(self.entries, "entry")
+        alive = self.alive()
+        reporters = reporters_of(alive)
+        for name, status in zip(alive, self.statuses(alive), strict=True):
+            if status.get("shards"):
+                found[name] = "coordinator"
+            elif name in reporters:
+                found[name] = "reporter"
+            else:
+                found[name] = "keeper"
+        return found
+
+    def measure(self, label: str) -> None:
+        """Measure use by duty over one window."""
+        duties = self.duties()
+        before = self.sample()
+        began_s = time.monotonic()
+        time.sleep(WINDOW_S)
+        after = self.sample()
+        elapsed_s = time.monotonic() - began_s
+        for duty in ("keeper", "reporter", "coordinator", "entry"):
+            names = [n for n, d in duties.items() if d == duty]
+            if names:
+                self.note_use(label, duty, names, before, after, elapsed_s)
+
+    def note_use(
+        self,
+        label: str,
+        duty: str,
+        names: list[str],
+        before: dict[str, Sample],
+        after: dict[str, Sample],
+        elapsed_s: float,
+    ) -> None:
+        """Keep the median and the highest use of one duty."""
+        cores = [
+            100.0
+            * (after[n].usage.processor_s - before[n].usage.processor_s)
+            / elapsed_s
+            for n in names
+        ]
+        rates = [
+            (after[n].traffic - before[n].traffic) / elapsed_s for n in names
+        ]
+        resident = [after[n].usage.resident_mb for n in names]
+        own = [after[n].usage.own_mb for n in names]
+        # Bytes of the work itself are no control overhead.
+        byte_bound = BYTES_BOUND_PER_S if label == "idle" else None
+        core_bound = CORE_BOUND_PERCENT if label == "idle" else None
+        prefix = f"{label}, {duty}"
+        self.note(f"{prefix}: processes", len(names), "count")
+        for kind, pick in (("median", statistics.median), ("highest", max)):
+            self.note(
+                f"{prefix}: processor {kind}", pick(cores), "%", core_bound
+            )
+            self.note(
+                f"{prefix}: resident {kind}",
+                pick(resident),
+                "MB",
+                MEMORY_BOUND_MB,
+            )
+            self.note(f"{prefix}: own pages {kind}", pick(own), "MB")
+            self.note(
+                f"{prefix}: traffic {kind}", pick(rates), "B/s", byte_bound
+            )
+
+    def change_config(self) -> None:
+        """Measure how long changes take to be in force everywhere."""
+        last = []
+        half = []
+        for number in range(CONFIG_CHANGES):
+            seen = self.change_once(number)
+            if seen is None:
+                continue
+            half.append(statistics.median(seen))
+            last.append(max(seen))
+            time.sleep(1.0)
+        self.note("configuration changes in force", len(last), "count")
+        if last:
+            self.note("configuration at half the agents", max(half), "s")
+            self.note(
+                "configuration everywhere, slowest change",
+                max(last),
+                "s",
+                CONFIG_BOUND_S,
+            )
+
+    def change_once(self, number: int) -> list[float] | None:
+        """Change a team; return when each agent had the change."""
+        status = self.fleet.entry_status(0)
+        version = int(status["configVersion"])
+        began_s = time.monotonic()
+        reply = fleets.call(
+            self.fleet.layout.entry_url(0),
+            CHANGE,
+            {
+                "expectedVersion": str(version),
+                "author": "scale",
+                "setTeam": {"name": "crew-desk", "weight": number + 2},
+            },
+        )
+        if reply.status != 200:
+            print(f"change refused: {reply.body}", flush=True)
+            return None
+        wanted = int(reply.body["version"])
+        seen: dict[str, float] = {}
+        while len(seen) < len(self.alive()):
+            if time.monotonic() - began_s > CONFIG_LIMIT_S:
+                print(f"{len(seen)} agents have the change", flush=True)
+                return None
+            missing = tuple(n for n in self.alive() if n not in seen)
+            for name, found in zip(
+                missing, self.statuses(missing), strict=True
+            ):
+                if found.get("config_version", 0) >= wanted:
+                    seen[name] = time.monotonic() - began_s
+        return list(seen.values())
+
+    def measure_load(self) -> None:
+        """Measure use while a few callers submit jobs."""
+        stop = threading.Event()
+        counted = [[0, 0] for _ in range(LOAD_CALLERS)]
+        callers = [
+            threading.Thread(target=self.submit_jobs, args=(stop, counts))
+            for counts in counted
+        ]
+        began_s = time.monotonic()
+        for caller in callers:
+            caller.start()
+        time.sleep(3.0)
+        self.measure("load")
+        stop.set()
+        for caller in callers:
+            caller.join()
+        elapsed_s = time.monotonic() - began_s
+        done = sum(c[0] for c in counted)
+        self.note("load: tasks completed", done / elapsed_s, "1/s")
+        self.note("load: jobs refused", sum(c[1] for c in counted), "count")
+
+    def submit_jobs(self, stop: threading.Event, counts: list[int]) -> None:
+        """Submit one job after the other, until told to stop."""
+        tasks = [
+            {
+                "name": f"task-{index}",
+                "service": "hutch-orders",
+                "method": "quote",
+                "payload": {"run_s": TASK_RUN_S},
+                "demand": {"cores": 1, "memoryMb": 256},
+                "expectedS": TASK_RUN_S,
+            }
+            for index in range(JOB_TASKS)
+        ]
+        body = {"team": "crew-desk", "deadlineS": 30, "tasks": tasks}
+        while not stop.is_set():
+            reply = fleets.call(self.fleet.layout.url(), JOB, body)
+            if reply.status == 200:
+                counts[0] += JOB_TASKS
+            else:
+                counts[1] += 1
+                time.sleep(0.1)
+
+    def kill_third(self) -> None:
+        """Kill every third agent and measure until all views agree."""
+        victims = self.alive()[::3]
+        for name in victims:
+            self.fleet.processes[name].kill()
+        began_s = time.monotonic()
+        for name in victims:
+            self.fleet.kill(name)
+        self.note("agents killed at once", len(victims), "count")
+        time.sleep(1.0)
+        if self.wait(self.is_owned, CONVERGE_LIMIT_S, "shards lack owners"):
+            took_s = time.monotonic() - began_s
+            self.note("owners of all shards after the kill", took_s, "s")
+        if self.wait(
+            self.has_converged, CONVERGE_LIMIT_S, "the views differ"
+        ):
+            took_s = time.monotonic() - began_s
+            self.note("views of all members after the kill", took_s, "s")
+
+    def report(self) -> dict[str, typing.Any]:
+        """Return what is written to the file."""
+        return {
+            "agents": len(self.agents),
+            "entries": len(self.entries),
+            "cells": CELLS,
+            "shards": SHARDS,
+            "decision_log_share": LOG_SHARE,
+            "figures": [
+                {**dataclasses.asdict(f), "verdict": f.verdict()}
+                for f in self.figures
+            ],
+        }
+
+
+def cell_of(name: str) -> int:
+    """Return the cell of an agent."""
+    return cells.cell_of(name, cell_count=CELLS)
+
+
+def reporters_of(names: tuple[str, ...]) -> set[str]:
+    """Return the reporters of all cells."""
+    found: set[str] = set()
+    for cell in range(CELLS):
+        view = [record(n) for n in names if cell_of(n) == cell]
+        found |= {m.node.name for m in cells.reporters(cell, view)}
+    return found
+
+
+def record(name: str) -> members.Member:
+    """Return a record that holds no more than a name."""
+    return members.Member(
+        node=members.NodeId(name, 1),
+        address=members.NO_ADDRESS,
+        role=members.Role.AGENT,
+        region="",
+        failure_domain="",
+        rack="",
+    )
+
+
+def build_layout(folder: pathlib.Path, agents: int) -> layouts.Layout:
+    """Return the settings of a fleet of ``agents`` in several cells."""
+    config = json.loads(EXAMPLE.read_text())
+    config["cellCount"] = CELLS
+    config["shardCount"] = SHARDS
+    path = folder / "config.json"
+    path.write_text(json.dumps(config))
+    deployment = dataclasses.replace(
+        deployments.KARRI_CREEK,
+        name="scale",
+        minions=agents // 2,
+        workers=agents - agents // 2,
+    )
+    return layouts.build(
+        deployment,
+        config_file=path,
+        allocator=ports.PortAllocator(),
+        decision_log_share=LOG_SHARE,
+        log_level=settings.LogLevel.WARNING,
+    )
+
+
+def main(*, agents: int = 200) -> None:
+    """Run the fleet, print the figures and write them."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        scale = Scale(
+            fleets.Fleet(build_layout(folder, agents), folder=folder)
+        )
+        try:
+            scale.start()
+            time.sleep(SETTLE_S)
+            scale.measure("idle")
+            scale.change_config()
+            scale.measure_load()
+            scale.kill_third()
+        finally:
+            scale.pool.shutdown(cancel_futures=True)
+            scale.fleet.stop()
+            TARGET.parent.mkdir(exist_ok=True)
+            text = msgspec.json.format(
+                msgspec.json.encode(scale.report()), indent=1
+            )
+            TARGET.write_bytes(text + b"\n")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
