--- a/bench/dispatcher_cost.py
+++ b/bench/dispatcher_cost.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import random
+import statistics
 import time
 
 import fire
@@ -29,6 +30,20 @@
 RUN_S = 0.2
 # Work offered, as a multiple of what the endpoints can run at once.
 OFFERED = 2.0
+CLOCK_READS = 200
+
+
+def clock_cost_s() -> float:
+    """Return what reading the processor clock twice adds to a time.
+
+    The kernel answers it in up to 80 us on some virtual machines, more
+    than a start costs.
+    """
+    times = []
+    for _ in range(CLOCK_READS):
+        began_s = time.process_time()
+        times.append(time.process_time() - began_s)
+    return statistics.median(times)
 
 
 class Owner:
@@ -54,6 +69,7 @@
 
     def __init__(self, *, keepers: int, is_job: bool, policy: str) -> None:
         self.rng = random.Random(1)
+        self.clock_s = clock_cost_s()
         self.is_job = is_job
         self.now_s = 0.0
         self.spent_s = 0.0
@@ -119,7 +135,7 @@
         now = core.Instant(self.now_s, START_WALL_MS + int(self.now_s * 1000))
         start_s = time.process_time()
         actions = method(*args, now)
-        self.spent_s += time.process_time() - start_s
+        self.spent_s += time.process_time() - start_s - self.clock_s
         for action in actions:
             if not isinstance(action, core.Send):
                 continue
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,102 @@
+"""Measures what single things cost and fits lines (``make slopes``).
+
+Writes ``build/slopes.json``. Times are processor time, sizes in the unit
+that each cost names.
+"""
+
+import dataclasses
+import pathlib
+import statistics
+import subprocess
+import sys
+import typing
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import task
+
+from bench import costs
+from bench import costs_control
+from bench import costs_wire
+from bench import costs_work
+from bench import dispatcher_cost
+from bench import membership_cost
+from bench import processes
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+TARGET = ROOT / "build/slopes.json"
+IMPORTS = (
+    "",
+    "twisted.internet.reactor",
+    "twisted.web.server",
+    "klein",
+    "treq",
+    "structlog",
+    "opentelemetry.sdk.metrics",
+    "google.protobuf.json_format",
+    "msgspec",
+)
+RESIDENT = (
+    "import re; print(re.search(r'VmRSS:\\s+(\\d+)',"
+    " open('/proc/self/status').read())[1])"
+)
+
+
+def import_mb(name: str) -> float:
+    """Return the resident memory after importing ``name`` alone."""
+    code = f"import {name}\n{RESIDENT}" if name else RESIDENT
+    sizes = [
+        int(
+            subprocess.run(
+                [sys.executable, "-c", code],
+                capture_output=True,
+                text=True,
+                check=True,
+            ).stdout
+        )
+        for _ in range(costs.REPEATS)
+    ]
+    return statistics.median(sizes) / processes.KB_PER_MB
+
+
+def described(cost: costs.Cost) -> dict[str, typing.Any]:
+    """Return a cost with its fit, and print it."""
+    fit = cost.fit()
+    print(
+        f"{cost.name:40} {fit.slope:12.4f} +- {fit.half_width:10.4f} "
+        f"{cost.unit} per {cost.size_unit:14} from {fit.intercept:12.2f}",
+        flush=True,
+    )
+    return {**dataclasses.asdict(cost), "fit": dataclasses.asdict(fit)}
+
+
+def traffic() -> dict[str, typing.Any]:
+    """Return bytes per second by role in a full cell with changes."""
+    return dataclasses.asdict(membership_cost.measure())
+
+
+async def run() -> None:
+    """Measure everything and write the file."""
+    before = processes.load_average()
+    found = [described(cost) for cost in costs_work.measure()]
+    found += [described(cost) for cost in costs_control.measure()]
+    found += [described(cost) for cost in await costs_wire.measure()]
+    report = {
+        "load_average": [before, processes.load_average()],
+        "clock_us": dispatcher_cost.clock_cost_s() * 1e6,
+        "costs": found,
+        "imports_mb": {name or "none": import_mb(name) for name in IMPORTS},
+        "traffic_bytes_per_s": traffic(),
+    }
+    TARGET.parent.mkdir(exist_ok=True)
+    text = msgspec.json.format(msgspec.json.encode(report), indent=1)
+    TARGET.write_bytes(text + b"\n")
+
+
+def main() -> None:
+    """Run the measurements under the reactor."""
+    task.react(lambda reactor: defer.ensureDeferred(run()))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/_jasminewind/decisions/capacity.py
+++ b/src/_jasminewind/decisions/capacity.py
@@ -120,12 +120,27 @@
         )
 
     def held(self, *, only_long: bool = False) -> resources.Resources:
-        """Return the sum of the holdings."""
-        total = resources.NOTHING
+        """Return the sum of the holdings.
+
+        It is taken several times for each start, so the amounts are added
+        as plain numbers instead of one object for each holding.
+        """
+        slots = cores = memory_mb = accelerators = 0.0
         for holding in self.holdings.values():
-            if holding.is_long or not only_long:
-                total = total + holding.effective()
-        return total
+            if only_long and not holding.is_long:
+                continue
+            held = holding.held
+            share = THROTTLED_SHARE if holding.is_throttled else 1.0
+            slots += held.slots
+            cores += held.cores * share
+            memory_mb += held.memory_mb
+            accelerators += held.accelerators
+        return resources.Resources(
+            slots=slots,
+            cores=cores,
+            memory_mb=memory_mb,
+            accelerators=accelerators,
+        )
 
     def free(self) -> resources.Resources:
         """Return the capacity that no task holds."""
--- /dev/null
+++ b/testing/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the benchmarks."""
--- /dev/null
+++ b/tools/capacity_page.py
@@ -0,0 +1,673 @@
+"""Write ``docs/CAPACITY.md`` from the measured figures.
+
+``python -m tools.capacity_page --check`` exits with 1 when the page
+differs from the figures in ``bench/figures`` and the template.
+"""
+
+import argparse
+import dataclasses
+import json
+import math
+import pathlib
+import sys
+import typing
+
+from _jasminewind.experiment import deployments
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+FIGURES = ROOT / "bench/figures"
+TEMPLATE = ROOT / "tools/capacity_template.md"
+PAGE = ROOT / "docs/CAPACITY.md"
+
+# The target size, from section 1 of docs/design.md.
+WORKERS = 12_000
+STARTS_PER_S = 480_000
+JOB_TASKS = 110
+FAILURE_DOMAINS = 7
+CHANGES_PER_DAY = 4_700
+FAILURES_PER_DAY = 88
+RESTARTS_PER_DAY = 4_500
+CORE_BOUND_PERCENT = 4.1
+MEMORY_BOUND_MB = 64.0
+BYTES_BOUND = 19_000.0
+CONFIG_BOUND_S = 3.0
+# "Several hundred" and "about 2,000" in section 3, read strictly.
+WRITES_BOUND = 300.0
+READS_BOUND = 2_000.0
+CELL_SIZE = 128
+TEAMS = 180
+# As in bench/membership_cost.py, whose byte rates are for this many.
+ENTRIES = 24
+# Share of a core that an entry spends at peak on calls: half is left for
+# bursts.
+ENTRY_SHARE = 0.5
+BATCH_STARTS = 50
+BURST_S = 10.0
+DAY_S = 86_400.0
+DIGEST_BEAT_S = 3.0
+REPORTERS = 2
+SUCCESSORS = 2
+WRITES_PER_MINUTE = 1.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Figures:
+    """The two measured files."""
+
+    slopes: dict[str, typing.Any]
+    scale: dict[str, typing.Any]
+
+    def fit(self, name: str) -> dict[str, float]:
+        """Return the fit of a cost."""
+        found = next(c for c in self.slopes["costs"] if c["name"] == name)
+        return found["fit"]
+
+    def slope(self, name: str) -> float:
+        """Return the slope of a cost."""
+        return self.fit(name)["slope"]
+
+    def at(self, name: str, size: float) -> float:
+        """Return the cost at ``size`` on the fitted line."""
+        fit = self.fit(name)
+        return max(0.0, fit["intercept"] + fit["slope"] * size)
+
+    def fleet(self, name: str) -> float | None:
+        """Return a figure of the fleet, ``None`` if it was not reached."""
+        for figure in self.scale["figures"]:
+            if figure["name"] == name:
+                return figure["value"]
+        return None
+
+
+def load() -> Figures:
+    """Return the committed figures."""
+    return Figures(
+        slopes=json.loads((FIGURES / "slopes.json").read_text()),
+        scale=json.loads((FIGURES / "scale.json").read_text()),
+    )
+
+
+class Plan:
+    """What the target size needs, derived from the figures."""
+
+    def __init__(self, figures: Figures) -> None:
+        self.figures = figures
+        self.cells = -(-WORKERS // CELL_SIZE)
+        self.jobs_per_s = STARTS_PER_S / JOB_TASKS
+        self.link_start_us = (
+            figures.slope("link, batches of 50 starts") / BATCH_STARTS
+        )
+        # A start costs its decision and one side of two messages, of which
+        # the start is the larger.
+        self.start_us = (
+            figures.at("coordinator, a job", JOB_TASKS) / JOB_TASKS
+            + self.link_start_us
+        )
+        idle = figures.fleet("idle, keeper: processor median") or 0.0
+        self.idle_percent = idle
+        self.starts_per_cell = STARTS_PER_S / self.cells
+        spare = max(CORE_BOUND_PERCENT - idle, 0.1) / 100
+        needed = math.ceil(self.starts_per_cell * self.start_us / 1e6 / spare)
+        self.needed_per_cell = needed
+        self.coordinators_per_cell = min(needed, CELL_SIZE)
+        self.coordinators = self.coordinators_per_cell * self.cells
+        self.shards = self.coordinators
+        self.call_us = figures.slope("klein and treq, calls")
+        self.entries = max(
+            ENTRIES,
+            math.ceil(self.jobs_per_s * self.call_us / 1e6 / ENTRY_SHARE),
+        )
+
+    def keeper_percent(self, agents: int) -> float:
+        """Return the processor time of a keeper's starts at peak."""
+        del agents
+        us = self.figures.at("keeper, a batch of starts", 10) / 10
+        return STARTS_PER_S / WORKERS * (us + self.link_start_us) / 1e4
+
+    def membership_percent(self, members: int) -> float:
+        """Return the processor time of membership in a cell."""
+        us = self.figures.at("membership, one second in a cell", members)
+        return us / 1e4
+
+    def coordinator_percent(self) -> float:
+        """Return the processor time of starts at one coordinator."""
+        rate = STARTS_PER_S / self.coordinators
+        return rate * self.start_us / 1e4
+
+    def entry_control_percent(self) -> float:
+        """Return the processor time of the shard map at an entry."""
+        beats = self.cells * REPORTERS / DIGEST_BEAT_S
+        beat_us = self.figures.at("directory, one digest beat", WORKERS)
+        # A restart changes the records of two reports about three times.
+        changes = RESTARTS_PER_DAY / DAY_S * REPORTERS * 3
+        change_us = self.figures.at("directory, one changed record", WORKERS)
+        return (beats * beat_us + changes * change_us) / 1e4
+
+    def entry_work_percent(self) -> float:
+        """Return the processor time of calls at an entry at peak."""
+        return self.jobs_per_s / self.entries * self.call_us / 1e4
+
+    def agent_mb(self) -> float:
+        """Return the resident memory of an agent."""
+        resident = self.figures.fleet("idle, coordinator: resident highest")
+        per_member = self.figures.slope("membership, memory of a view") / 1024
+        seen = self.figures.scale["agents"] / self.figures.scale["cells"]
+        return (resident or 0.0) + (CELL_SIZE - seen) * per_member
+
+    def entry_mb(self) -> float:
+        """Return the resident memory of an entry."""
+        resident = self.figures.fleet("idle, entry: resident highest") or 0.0
+        per_member = self.figures.slope("directory, memory") / 1024
+        more = WORKERS - self.figures.scale["agents"]
+        return resident + more * per_member
+
+    def writes_per_s(self) -> float:
+        """Return the ordinary table writes."""
+        return self.shards * WRITES_PER_MINUTE / 60 + CHANGES_PER_DAY / DAY_S
+
+
+def number(value: float) -> str:
+    """Return a number as text with three significant digits or more."""
+    if abs(value) >= 100:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+def row(*cells: object) -> str:
+    """Return one row of a table."""
+    return "| " + " | ".join(str(cell) for cell in cells) + " |"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Budget:
+    """A value against its bound; ``remedy`` says what has to meet it."""
+
+    name: str
+    value: float | None
+    unit: str
+    bound: float
+    source: str
+    remedy: str
+
+    def verdict(self) -> str:
+        """Return whether the bound is met."""
+        if self.value is None:
+            return "not measured"
+        return "met" if self.value <= self.bound else "**missed**"
+
+    def line(self) -> str:
+        """Return the row of the budget."""
+        value = "none" if self.value is None else number(self.value)
+        return row(
+            self.name,
+            f"{value} {self.unit}",
+            f"{number(self.bound)} {self.unit}",
+            self.verdict(),
+            self.source,
+        )
+
+
+def budgets(plan: Plan) -> list[Budget]:
+    """Return every budget with its value."""
+    found = []
+    figures = plan.figures
+    traffic = figures.slopes["traffic_bytes_per_s"]
+    for duty in ("keeper", "reporter", "coordinator", "entry"):
+        found.append(
+            Budget(
+                name=f"control processor, {duty}, idle fleet, highest",
+                value=figures.fleet(f"idle, {duty}: processor highest"),
+                unit="%",
+                bound=CORE_BOUND_PERCENT,
+                source="measured, fleet",
+                remedy="Profile the ticks of the node on a quiet machine.",
+            )
+        )
+        found.append(
+            Budget(
+                name=f"resident memory, {duty}, highest",
+                value=figures.fleet(f"idle, {duty}: resident highest"),
+                unit="MB",
+                bound=MEMORY_BOUND_MB,
+                source="measured, fleet",
+                remedy=(
+                    "Imports are the base (see below): load protobuf, the "
+                    "OpenTelemetry SDK and treq only where they are used "
+                    "(`_jasminewind/nodes/daemon.py`)."
+                ),
+            )
+        )
+        found.append(
+            Budget(
+                name=f"link bytes, {duty}, idle fleet, median",
+                value=figures.fleet(f"idle, {duty}: traffic median"),
+                unit="B/s",
+                bound=BYTES_BOUND,
+                source="measured, fleet",
+                remedy=(
+                    "On an overloaded machine links are probed and replaced "
+                    "and whole records and digests are sent again; the cause "
+                    "must be confirmed on a quiet machine. Compact beats "
+                    "(`_jasminewind/decisions/beats.py`) and digest deltas "
+                    "(`_jasminewind/decisions/reports.py`) are the "
+                    "mechanism; promises of successors "
+                    "(`_jasminewind/decisions/promises.py`) are sent for "
+                    "each shard and must be sent for all shards of a pair."
+                ),
+            )
+        )
+    for duty in ("member", "coordinator", "reporter", "entry"):
+        found.append(
+            Budget(
+                name=f"bytes of membership and configuration, {duty}",
+                value=traffic[duty],
+                unit="B/s",
+                bound=BYTES_BOUND,
+                source="bench/membership_cost.py at the target size",
+                remedy="Send fewer records in a digest or fewer copies.",
+            )
+        )
+    found += [
+        Budget(
+            name="resident memory, agent, derived",
+            value=plan.agent_mb(),
+            unit="MB",
+            bound=MEMORY_BOUND_MB,
+            source="fleet and memory slope",
+            remedy="As for the measured memory.",
+        ),
+        Budget(
+            name="resident memory, entry, derived",
+            value=plan.entry_mb(),
+            unit="MB",
+            bound=MEMORY_BOUND_MB,
+            source="fleet and memory slope",
+            remedy=(
+                "An entry holds two whole reports of every cell "
+                "(`_jasminewind/decisions/directory.py`). Records that "
+                "are equal in both reports must be one object, and strings "
+                "such as rack and failure domain must be interned."
+            ),
+        ),
+        Budget(
+            name="control processor, entry, derived",
+            value=plan.entry_control_percent(),
+            unit="%",
+            bound=CORE_BOUND_PERCENT,
+            source="slopes",
+            remedy=(
+                "Each digest beat hashes a whole report and each change "
+                "rebuilds the view of all members "
+                "(`_jasminewind/decisions/directory.py`). The hash must be "
+                "kept as a running XOR and the view updated by name."
+            ),
+        ),
+        Budget(
+            name="coordinators that a cell needs, of its members",
+            value=float(plan.needed_per_cell),
+            unit="",
+            bound=float(CELL_SIZE),
+            source="slopes",
+            remedy="Lower the cost per start in `decisions/dispatcher.py`.",
+        ),
+        Budget(
+            name="configuration in force everywhere, slowest",
+            value=figures.fleet("configuration everywhere, slowest change"),
+            unit="s",
+            bound=CONFIG_BOUND_S,
+            source="measured, fleet; includes a pass of the client",
+            remedy=(
+                "The tree of pushes (`_jasminewind/decisions/agentsync.py`) "
+                "is the mechanism. The value includes at least one pass of "
+                "the client over all agents on an overloaded machine; it "
+                "must be measured again on a quiet one before the budget "
+                "counts as met."
+            ),
+        ),
+        Budget(
+            name="table writes, ordinary day",
+            value=plan.writes_per_s(),
+            unit="1/s",
+            bound=WRITES_BOUND,
+            source="derived",
+            remedy="Refresh rows of several shards less often.",
+        ),
+        Budget(
+            name="table writes, restart of everything",
+            value=(plan.shards + plan.entries) / BURST_S,
+            unit="1/s",
+            bound=WRITES_BOUND,
+            source="derived",
+            remedy=(
+                "Claims (`_jasminewind/decisions/claims.py`) need a jitter "
+                "that grows with the number of shards."
+            ),
+        ),
+        Budget(
+            name="table reads, ordinary day",
+            value=float(plan.entries),
+            unit="1/s",
+            bound=READS_BOUND,
+            source="derived",
+            remedy="Read less often at each entry.",
+        ),
+    ]
+    return found
+
+
+def needs(plan: Plan) -> list[str]:
+    """Return how many of each part the target needs."""
+    return [
+        row(
+            "cells",
+            plan.cells,
+            f"{WORKERS:,} agents, at most {CELL_SIZE} in a cell "
+            "(`_jasminewind/decisions/cells.py`)",
+        ),
+        row(
+            "coordinators in a cell",
+            plan.coordinators_per_cell,
+            f"{number(plan.starts_per_cell)} starts/s in a cell at "
+            f"{number(plan.start_us)} us, within "
+            f"{number(CORE_BOUND_PERCENT - plan.idle_percent)}% of a core "
+            "that an idle agent leaves "
+            "(`_jasminewind/decisions/coordinator.py`)",
+        ),
+        row(
+            "shards",
+            plan.shards,
+            "one for each coordinator (`_jasminewind/decisions/ownership.py`)",
+        ),
+        row(
+            "entries",
+            plan.entries,
+            f"{number(plan.jobs_per_s)} jobs/s of {JOB_TASKS} tasks at "
+            f"{number(plan.call_us)} us for each HTTP call (client side "
+            f"included), half a core each, and at least {ENTRIES}, for which "
+            "the byte rates are measured (`_jasminewind/api/server.py`)",
+        ),
+    ]
+
+
+def roles(plan: Plan) -> list[str]:
+    """Return the rows of the roles and duties."""
+    traffic = plan.figures.slopes["traffic_bytes_per_s"]
+    today = deployments.KARRI_CREEK
+    agents = today.minions + today.workers
+    small = plan.membership_percent(agents)
+    full = plan.membership_percent(CELL_SIZE)
+    agent_mb = number(plan.agent_mb())
+    config_us = plan.figures.at("configuration, one change at an agent", TEAMS)
+    config_percent = config_us * CHANGES_PER_DAY / DAY_S / 1e4
+    owner_us = plan.figures.slope("ownership, one second of a cell")
+    return [
+        row(
+            "entry",
+            f"records of {WORKERS:,} members twice, {plan.shards} rows",
+            f"{number(plan.cells * REPORTERS / DIGEST_BEAT_S)} digest "
+            "beats/s, beacons, calls",
+            f"{number(plan.entry_control_percent())}% control, "
+            f"{number(plan.entry_work_percent())}% calls at peak",
+            "see fleet",
+            f"{number(plan.entry_mb())} MB",
+            number(traffic["entry"]),
+            "`_jasminewind/decisions/directory.py`",
+        ),
+        row(
+            "agent",
+            f"view of {CELL_SIZE} members, configuration of {TEAMS} teams",
+            f"{number((CELL_SIZE - 1) / 2)} beats/s in and out",
+            f"{number(full)}% membership, {number(config_percent)}% "
+            "configuration",
+            f"{number(small)}%",
+            f"{agent_mb} MB",
+            number(traffic["member"]),
+            "`_jasminewind/decisions/membership.py`, "
+            "`_jasminewind/decisions/agentsync.py`",
+        ),
+        row(
+            "keeper",
+            "running tasks, results, tombstones",
+            f"{number(STARTS_PER_S / WORKERS)} starts/s at peak",
+            f"{number(plan.keeper_percent(WORKERS))}%",
+            "as at the target, per start",
+            f"{agent_mb} MB",
+            number(traffic["member"]),
+            "`_jasminewind/decisions/keeper.py`",
+        ),
+        row(
+            "coordinator",
+            "records of 10 min, queues, run times",
+            f"{number(STARTS_PER_S / plan.coordinators)} starts/s at peak",
+            f"{number(plan.coordinator_percent())}% at peak",
+            "as at the target, per start",
+            f"{agent_mb} MB and its records (not measured)",
+            number(traffic["coordinator"]),
+            "`_jasminewind/decisions/coordinator.py`, "
+            "`_jasminewind/decisions/dispatcher.py`",
+        ),
+        row(
+            "successor",
+            "promises of the shards that name it",
+            f"{SUCCESSORS} promises a second and shard",
+            f"{number(owner_us / 1e4)}% a shard, owner and both "
+            "successors together",
+            "as at the target, per shard",
+            f"{agent_mb} MB",
+            "in the coordinator's fleet figure",
+            "`_jasminewind/decisions/promises.py`",
+        ),
+        row(
+            "reporter",
+            "what it last sent of the cell",
+            f"{number(plan.entries / DIGEST_BEAT_S)} digest beats/s",
+            f"{number(full)}% as a member; digests not measured apart",
+            f"{number(small)}%",
+            f"{agent_mb} MB",
+            number(traffic["reporter"]),
+            "`_jasminewind/decisions/reports.py`",
+        ),
+    ]
+
+
+def table_rows(plan: Plan) -> list[str]:
+    """Return rows and rates of the platform's table."""
+    rows = plan.shards + plan.entries + 1
+    share = 1 / FAILURE_DOMAINS
+    per_agent = plan.shards / WORKERS
+    # A gone owner costs a takeover, a gone successor its replacement.
+    per_loss = per_agent * (1 + SUCCESSORS)
+    churn = (FAILURES_PER_DAY + RESTARTS_PER_DAY) / DAY_S * per_loss
+    lost = plan.shards * share * (1 + SUCCESSORS) / BURST_S
+    every = (plan.shards + plan.entries) / BURST_S
+    base = plan.writes_per_s()
+    reads = float(plan.entries)
+    return [
+        row(
+            "ordinary day",
+            rows,
+            f"{number(base + churn)}, of which {number(churn)} by "
+            f"{FAILURES_PER_DAY} failures and {RESTARTS_PER_DAY:,} restarts",
+            f"{number(reads + churn)}",
+            "`_jasminewind/decisions/tenures.py`, "
+            "`_jasminewind/decisions/entrysync.py`",
+        ),
+        row(
+            "loss of a failure domain",
+            rows,
+            number(base + lost),
+            number(reads + lost),
+            "`_jasminewind/decisions/claims.py`, "
+            "`_jasminewind/decisions/tenures.py`",
+        ),
+        row(
+            "restart of the whole fleet",
+            rows,
+            number(every),
+            number(reads + every),
+            "`_jasminewind/decisions/claims.py`, "
+            "`_jasminewind/decisions/entries.py`",
+        ),
+    ]
+
+
+def choices(plan: Plan) -> list[str]:
+    """Return the rows of the ways that were weighed."""
+    figures = plan.figures
+    message = figures.slope("link, messages")
+    written = figures.slope("decision log, lines written")
+    dropped = figures.slope("decision log, lines sampled out")
+    return [
+        row(
+            "between processes, per message, both sides",
+            f"framed link {number(message)} us (`_jasminewind/wire/links.py`)",
+            f"klein and treq {number(plan.call_us)} us",
+            number(plan.call_us / message),
+        ),
+        row(
+            "starts, per task, both sides",
+            f"batches of {BATCH_STARTS}: {number(plan.link_start_us)} us",
+            f"one message each: at least {number(message)} us",
+            number(message / plan.link_start_us),
+        ),
+        row(
+            "decision log, per line",
+            f"sampled out {number(dropped)} us (`_jasminewind/logs.py`)",
+            f"written {number(written)} us",
+            number(written / dropped),
+        ),
+    ]
+
+
+def slope_rows(figures: Figures) -> list[str]:
+    """Return the rows of the measured slopes."""
+    found = []
+    for cost in figures.slopes["costs"]:
+        fit = cost["fit"]
+        sizes = ", ".join(number(size) for size in cost["sizes"])
+        found.append(
+            row(
+                cost["name"] + (f" ({cost['note']})" if cost["note"] else ""),
+                f"{number(fit['slope'])} {cost['unit']}/"
+                + cost["size_unit"].removesuffix("s"),
+                f"+- {number(fit['half_width'])}",
+                number(fit["residual"]),
+                number(fit["intercept"]),
+                sizes,
+            )
+        )
+    return found
+
+
+def fleet_rows(figures: Figures) -> list[str]:
+    """Return the rows of the measured fleet."""
+    found = []
+    for figure in figures.scale["figures"]:
+        name = figure["name"]
+        # Sums over open sockets miss connections that were closed.
+        if name.startswith("load, entry: traffic"):
+            continue
+        bound = figure["bound"]
+        found.append(
+            row(
+                name,
+                number(figure["value"]),
+                figure["unit"],
+                "" if bound is None else number(bound),
+                figure["verdict"],
+                figure["load_average"],
+            )
+        )
+    return found
+
+
+def import_rows(figures: Figures) -> list[str]:
+    """Return the rows of the memory of imports."""
+    sizes = figures.slopes["imports_mb"]
+    return [
+        row(name, number(size), number(size - sizes["none"]))
+        for name, size in sizes.items()
+    ]
+
+
+def tenfold(plan: Plan) -> list[str]:
+    """Return what breaks first when each size grows tenfold."""
+    per_member = plan.figures.slope("directory, memory") / 1024
+    entry_mb = plan.entry_mb() + 9 * WORKERS * per_member
+    writes = plan.writes_per_s() * 10
+    beats = plan.entry_control_percent() * 10
+    return [
+        f"- Members: memory of an entry is {number(entry_mb)} MB and its "
+        f"control {number(beats)}% of a core or more, because every entry "
+        "knows every member (`_jasminewind/decisions/directory.py`).",
+        "- Cell size: membership is "
+        f"{number(plan.membership_percent(10 * CELL_SIZE))}% of a core, by a "
+        "straight line; each pair of members exchanges beats "
+        "(`_jasminewind/decisions/membership.py`).",
+        f"- Starts: {plan.needed_per_cell * 10} coordinators in a cell of "
+        f"{CELL_SIZE} at the same number of members "
+        "(`_jasminewind/decisions/dispatcher.py`).",
+        f"- Shards: {number(writes)} table writes/s "
+        "(`_jasminewind/decisions/tenures.py`).",
+    ]
+
+
+def page(figures: Figures) -> str:
+    """Return the text of the page."""
+    plan = Plan(figures)
+    found = budgets(plan)
+    misses = [
+        f"- {b.name}: {number(b.value)} {b.unit}. {b.remedy}"
+        for b in found
+        if b.value is not None and b.value > b.bound
+    ]
+    today = deployments.KARRI_CREEK
+    loads = [f["load_average"] for f in figures.scale["figures"]]
+    parts = {
+        "load_slopes": " to ".join(map(str, figures.slopes["load_average"])),
+        "load_scale": str(max(loads)),
+        "verdicts": "\n".join(b.line() for b in found),
+        "misses": "\n".join(misses) or "Nothing.",
+        "needs": "\n".join(needs(plan)),
+        "roles": "\n".join(roles(plan)),
+        "table": "\n".join(table_rows(plan)),
+        "choices": "\n".join(choices(plan)),
+        "slopes": "\n".join(slope_rows(figures)),
+        "imports": "\n".join(import_rows(figures)),
+        "fleet": "\n".join(fleet_rows(figures)),
+        "tenfold": "\n".join(tenfold(plan)),
+        "workers": f"{WORKERS:,}",
+        "cells": str(plan.cells),
+        "entries": str(plan.entries),
+        "core_bound": str(CORE_BOUND_PERCENT),
+        "burst_s": number(BURST_S),
+        "today_agents": str(today.minions + today.workers),
+        "today_entries": str(today.entries),
+        "fleet_agents": str(figures.scale["agents"]),
+        "fleet_entries": str(figures.scale["entries"]),
+        "fleet_cells": str(figures.scale["cells"]),
+        "fleet_shards": str(figures.scale["shards"]),
+    }
+    return TEMPLATE.read_text().format_map(parts)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Write or check the page; return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--check", action="store_true")
+    options = parser.parse_args(arguments)
+    text = page(load())
+    if not options.check:
+        PAGE.write_text(text)
+        return 0
+    if PAGE.exists() and PAGE.read_text() == text:
+        return 0
+    print(
+        "docs/CAPACITY.md is not current; run `python -m tools.capacity_page`",
+        file=sys.stderr,
+    )
+    return 1
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
