--- a/src/_jasminewind/decisions/dispatcher.py
+++ b/src/_jasminewind/decisions/dispatcher.py
@@ -9,6 +9,7 @@
 from _jasminewind import configuration
 from _jasminewind import errors
 from _jasminewind import members
+from _jasminewind import metrics
 from _jasminewind import resources
 from _jasminewind.decisions import core
 from _jasminewind.decisions import outliers
@@ -85,8 +86,14 @@
     of each type per keeper.
     """
 
-    def __init__(self, *, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        meter: metrics.Meter = metrics.NO_METER,
+    ) -> None:
         self.rng = rng
+        self.meter = meter
         self.config = configuration.NO_CONFIGURATION
         self.weights: dict[str, float] = {}
         self.policy: routing.RoutingPolicy = routing.from_name(
@@ -267,8 +274,9 @@
                 )
             times = self.times.method(task.service, task.method)
             entry = runs.TaskRun(run, index, task, times, demand)
-            entry.cost_s = self.times.expected_s(times, task.expected_s)
-            entry.is_long = entry.cost_s > long_s
+            expected_s = self.times.expected_s(times, task.expected_s)
+            entry.cost_s = runtimes.cost_s(times, expected_s)
+            entry.is_long = expected_s > long_s
             run.tasks.append(entry)
         return run
 
@@ -506,10 +514,24 @@
                 is_long=task.is_long,
             )
         )
+        self.measure_start(attempt, now_s)
         self.plan_checks(attempt, now_s)
         run.pool.refresh(keeper, now_s)
         self.log_start(attempt, candidates)
 
+    def measure_start(self, attempt: runs.Attempt, now_s: float) -> None:
+        """Count a start and the time its task was queued."""
+        task = attempt.task
+        team = task.run.team
+        self.meter.add(metrics.TASK_STARTS, team=team)
+        waited_s = now_s - task.queued_s
+        self.meter.record(metrics.QUEUE_TIME, waited_s, team=team)
+        if attempt.key.attempt == 0:
+            return
+        is_hedge = len(task.live) > 1
+        again = metrics.TASK_HEDGES if is_hedge else metrics.TASK_RETRIES
+        self.meter.add(again, team=team)
+
     def log_start(
         self, attempt: runs.Attempt, candidates: list[pools.KeeperState]
     ) -> None:
@@ -878,6 +900,7 @@
             keeper.slowness, run_s, typical_s
         )
         task.times.add(run_s, now.mono_s)
+        self.meter.record(metrics.RUN_TIME, run_s, team=run.team)
         run.has_run = True
         if run.answered or task.finished:
             return
@@ -917,7 +940,7 @@
         error: errors.WorkError,
         now: core.Instant,
     ) -> None:
-        """Retry a repeatable task within the budget, else fail its run."""
+        """Retry a repeatable request within the budget, else fail its run."""
         task = attempt.task
         run = task.run
         task.runs_used += 1
@@ -925,8 +948,10 @@
             return
         if task.live or task.waiting:
             return
+        # A task of a job never starts twice, even one that is repeatable.
         if (
-            task.task.repeatable
+            run.is_request
+            and task.task.repeatable
             and error.code not in FINAL_CODES
             and task.runs_used < retries.MAX_ATTEMPTS
             and self.budget.spend()
--- a/src/_jasminewind/decisions/ownership.py
+++ b/src/_jasminewind/decisions/ownership.py
@@ -139,6 +139,14 @@
             known[shard] = holding.shown_row()
         return tuple(known[shard] for shard in sorted(known))
 
+    def announced_rows(self) -> tuple[shards.ShardRow, ...]:
+        """Return the rows of own shards as last announced."""
+        return tuple(
+            announced.row
+            for shard, announced in self.announced.items()
+            if shard in self.tenures.current
+        )
+
     def owned(self) -> tuple[int, ...]:
         """Return the shards that this process owns and may extend."""
         return tuple(
@@ -160,6 +168,10 @@
         self.claims.leaving = True
         return self.departures.begin_leave(now)
 
+    def has_given_shards(self) -> bool:
+        """Tell whether every shard was given away."""
+        return self.departures.has_given_shards() and not self.claims.writes
+
     def has_left(self) -> bool:
         """Tell whether every shard and every record was given away."""
         return self.departures.has_left() and not self.claims.writes
@@ -272,7 +284,7 @@
             case messages.TakeOverRequest():
                 return self.claims.on_asked(message, sender)
             case messages.HandOverAck():
-                self.departures.on_ack(message)
+                return self.departures.on_ack(message, now)
         return []
 
     def on_promise_request(
--- a/src/_jasminewind/nodes/agent.py
+++ b/src/_jasminewind/nodes/agent.py
@@ -6,6 +6,7 @@
 
 from _jasminewind import announcements
 from _jasminewind import members
+from _jasminewind import metrics
 from _jasminewind import timers
 from _jasminewind.decisions import agentsync
 from _jasminewind.decisions import coordinator
@@ -25,7 +26,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AgentStatus:
-    """Counts of an agent. Bytes are those of links since the start."""
+    """Counts of an agent. Bytes are those of links since the start.
+
+    ``messages`` are the messages sent on links since the start, by type.
+    ``unneeded_results`` are results that the coordinator got of attempts
+    that it no longer followed, such as repeated ones.
+    """
 
     node: str
     state: members.State
@@ -37,6 +43,8 @@
     load: members.Load
     bytes_in: int
     bytes_out: int
+    messages: dict[str, int]
+    unneeded_results: int
 
 
 class Agent(node.Node):
@@ -53,6 +61,8 @@
         decision_log: node.DecisionLog,
         log: typing.Any,
         rng: random.Random,
+        endpoint_lease_s: float = keeper.ANNOUNCE_LIMIT_S,
+        meter: metrics.Meter = metrics.NO_METER,
     ) -> None:
         super().__init__(
             reactor=reactor,
@@ -61,8 +71,11 @@
             table=table,
             decision_log=decision_log,
             log=log,
+            meter=meter,
+        )
+        self.keeper = keeper.Keeper(
+            node=member.node, announce_limit_s=endpoint_lease_s
         )
-        self.keeper = keeper.Keeper(node=member.node)
         self.membership = membership.Membership(
             member=member, seeds=seeds, rng=rng
         )
@@ -73,10 +86,13 @@
             ownership=self.ownership,
             rng=rng,
             freshness=self.config_sync,
+            meter=meter,
         )
         self.endpoint = endpoint.EndpointTask(node=self, keeper=self.keeper)
         self.shared_view: tuple[members.Member, ...] = ()
         self.is_leaving = False
+        self.is_handing_over = False
+        self.unneeded_results = 0
         self.handlers[core.StartOnEndpoint] = self.endpoint.start
         self.handlers[core.OrderOnEndpoint] = self.endpoint.order
         for decision in (
@@ -102,6 +118,11 @@
                 sender, members.NO_ADDRESS, self.explanation(message)
             )
             return
+        if isinstance(message, tasks.TaskResults):
+            known = self.coordinator.dispatcher.attempts
+            self.unneeded_results += sum(
+                1 for each in message.results if each.key not in known
+            )
         super().link_message(sender, message)
 
     def explanation(self, request: work.ExplainRequest) -> work.ExplainReply:
@@ -138,6 +159,7 @@
         return (
             self.keeper.is_idle()
             and not self.coordinator.has_work()
+            and self.is_handing_over
             and self.ownership.has_left()
         )
 
@@ -149,6 +171,8 @@
             return "no configuration is known yet"
         if not self.endpoint.is_attached:
             return "no endpoint has announced itself"
+        if not self.keeper.is_announced():
+            return "the endpoint has stopped announcing itself"
         return ""
 
     def status(self) -> AgentStatus:
@@ -165,6 +189,8 @@
             load=self.keeper.load(),
             bytes_in=bytes_in,
             bytes_out=bytes_out,
+            messages=self.links.sent_counts(),
+            unneeded_results=self.unneeded_results,
         )
 
     def stop(self) -> None:
@@ -187,11 +213,44 @@
             config_version=self.config_sync.current().version,
         )
         self.perform(self.membership, self.membership.update_self(record, now))
+        self.hand_over(now)
+        self.ownership.entries = {
+            entry.node: entry.address for entry in self.membership.contacts()
+        }
+        for row in self.ownership.announced_rows():
+            self.membership.take_row(row)
         view = self.membership.view()
         if view != self.shared_view:
             self.shared_view = view
             self.share_view(view)
 
+    def hand_over(self, now: core.Instant) -> None:
+        """Give the finished answers to the new owners, once work ended."""
+        if not self.is_leaving or self.is_handing_over:
+            return
+        if self.coordinator.has_work():
+            return
+        if not self.ownership.has_given_shards():
+            return
+        self.is_handing_over = True
+        answers = self.coordinator.close()
+        self.perform(self.ownership, self.ownership.hand_over(answers, now))
+
+    def measure(self, now: core.Instant) -> None:
+        """Record the state of this agent."""
+        super().measure(now)
+        counts = self.coordinator.status()
+        load = self.keeper.load()
+        self.meter.record(metrics.QUEUED, counts.tasks_waiting)
+        self.meter.record(metrics.RUNNING, load.running)
+        self.meter.record(metrics.MEMBERS, len(self.membership.view()))
+        self.meter.record(metrics.SHARDS_OWNED, len(self.ownership.owned()))
+        config = self.config_sync.current()
+        self.meter.record(metrics.CONFIG_VERSION, config.version)
+        if config.version > 0:
+            age_s = now.mono_s - self.config_sync.confirmed_s
+            self.meter.record(metrics.CONFIG_AGE, age_s)
+
     def changed_load(self) -> members.Load:
         """Return the announced load, or a new one if it has changed.
 
@@ -208,6 +267,6 @@
             return members.State.LEAVING
         if self.keeper.drain.state() is not drain.DrainState.SERVING:
             return members.State.DRAINING
-        if self.endpoint.is_attached:
+        if self.endpoint.is_attached and self.keeper.is_announced():
             return members.State.SERVING
         return members.State.JOINING
