--- a/bench/dispatcher_cost.py
+++ b/bench/dispatcher_cost.py
@@ -59,6 +59,10 @@
         del work_id, now
         return []
 
+    def raise_floor(self, shard: int, floor_ms: int) -> None:
+        """Do nothing, because no id is judged by a floor."""
+        del shard, floor_ms
+
     def owned(self) -> tuple[int, ...]:
         """Own every shard."""
         return (0, 1, 2, 3)
