Release a shard that was claimed as an orphan

A certain refusal was reported as unavailable, may have run.

Change: while a shard's floor is out of reach, the owners before it are the processes that must be gone; the current owner has accepted nothing and cannot go beyond the span without writing the row. A certain refusal is failed_precondition, not run.

--- a/src/_jasminewind/api/backend.py
+++ b/src/_jasminewind/api/backend.py
@@ -26,6 +26,18 @@
     takes_work: bool = False
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReleaseError:
+    """Why a shard was not released, as a sentence.
+
+    ``is_certain`` says that its row has certainly not changed.
+    """
+
+    reason: str
+    is_certain: bool
+
+
+ReleaseResult = result.Result[None, ReleaseError]
 ProposeResult = result.Result[changes.ConfigAccepted, changes.ConfigRefusal]
 
 
@@ -77,10 +89,8 @@
         """Return the live members of all cells."""
 
     @abc.abstractmethod
-    def release_shard(
-        self, shard: int
-    ) -> defer.Deferred[result.Result[None, str]]:
-        """Close a shard's row; the error is a sentence."""
+    def release_shard(self, shard: int) -> defer.Deferred[ReleaseResult]:
+        """Close a shard's row so that any agent may claim it."""
 
     @abc.abstractmethod
     def is_ready(self) -> Readiness:
--- a/src/_jasminewind/api/operations.py
+++ b/src/_jasminewind/api/operations.py
@@ -11,6 +11,7 @@
 from _jasminewind import ids
 from _jasminewind import members
 from _jasminewind import resources
+from _jasminewind.api import backend as backends
 from _jasminewind.api import calls
 from _jasminewind.api import configs
 from _jasminewind.api import connect
@@ -252,13 +253,7 @@
             )
         released = await self.backend.release_shard(request.shard)
         if isinstance(released, result.Err):
-            return result.Err(
-                connect.failure(
-                    released.err_value,
-                    code=errors.Code.UNAVAILABLE,
-                    outcome=errors.Outcome.MAY_HAVE_RUN,
-                )
-            )
+            return result.Err(release_error(released.err_value))
         return result.Ok(operations_pb2.ReleaseShardResponse())
 
     async def explain(
@@ -318,6 +313,19 @@
         )
 
 
+def release_error(error: backends.ReleaseError) -> connect.CallError:
+    """Return the error for a shard that was not released."""
+    if error.is_certain:
+        return connect.failure(
+            error.reason, code=errors.Code.FAILED_PRECONDITION
+        )
+    return connect.failure(
+        error.reason,
+        code=errors.Code.UNAVAILABLE,
+        outcome=errors.Outcome.MAY_HAVE_RUN,
+    )
+
+
 def explain_entry(text: str) -> struct_pb2.Struct:
     """Return one entry of the decision log as a message."""
     entry = struct_pb2.Struct()
--- a/src/_jasminewind/decisions/departures.py
+++ b/src/_jasminewind/decisions/departures.py
@@ -285,6 +285,21 @@
     version: int
 
 
+def holders_to_release(
+    row: shards.ShardRow, wall_ms: int
+) -> tuple[members.NodeId, ...]:
+    """Return the processes that must be gone before ``row`` is released.
+
+    A claim of an orphaned shard begins a whole span ahead, so that its
+    owner has accepted nothing yet and cannot go beyond the span either
+    without writing the row, which the release prevents. The owners before
+    it are then the ones that matter.
+    """
+    if row.current.floor_ms > wall_ms + rows.RELEASE_AHEAD_MS:
+        return tuple(interval.owner for interval in row.earlier)
+    return tuple(peer.node for peer in rows.names(row))
+
+
 def closed_for_release(
     row: shards.ShardRow, *, wall_ms: int, write_id: str
 ) -> shards.ShardRow:
--- a/src/_jasminewind/decisions/ownership.py
+++ b/src/_jasminewind/decisions/ownership.py
@@ -218,9 +218,9 @@
         """Close a row that was just read."""
         own = self.cell.member.node
         live = [
-            str(peer.node)
-            for peer in rows.names(row)
-            if peer.node == own or self.cell.is_live(peer.node)
+            str(node)
+            for node in departures.holders_to_release(row, now.wall_ms)
+            if node == own or self.cell.is_live(node)
         ]
         if live or row.closed:
             reason = (
@@ -229,7 +229,11 @@
             )
             if row.closed:
                 reason = f"shard {row.shard} is closed already"
-            return [core.LogDecision(kind="release", reason=reason)]
+            return [
+                core.LogDecision(
+                    kind="release", choice="refused", reason=reason
+                )
+            ]
         closed = departures.closed_for_release(
             row, wall_ms=now.wall_ms, write_id=self.cell.write_id()
         )
--- a/src/_jasminewind/nodes/entry.py
+++ b/src/_jasminewind/nodes/entry.py
@@ -193,7 +193,7 @@
 
     def release_shard(
         self, shard: int
-    ) -> defer.Deferred[result.Result[None, str]]:
+    ) -> defer.Deferred[backend.ReleaseResult]:
         """Close a shard's row so that any agent may claim it."""
         return self.releases.release(shard)
 
--- a/src/_jasminewind/nodes/releases.py
+++ b/src/_jasminewind/nodes/releases.py
@@ -6,14 +6,14 @@
 from twisted.internet import defer
 
 from _jasminewind import members
+from _jasminewind.api import backend
 from _jasminewind.decisions import core
 from _jasminewind.decisions import ownership
 from _jasminewind.nodes import node as nodes
 
 RELEASE_TIMEOUT_S = 5.0
 RELEASED = "released"
-
-Outcome = result.Result[None, str]
+REFUSED = "refused"
 
 
 class Releases:
@@ -28,14 +28,18 @@
     ) -> None:
         self.node = node
         self.ownership = ownership.Ownership(member=member, rng=rng)
-        self.waiting: defer.Deferred[Outcome] | None = None
+        self.waiting: defer.Deferred[backend.ReleaseResult] | None = None
 
-    def release(self, shard: int) -> defer.Deferred[Outcome]:
-        """Return a Deferred of the outcome, whose error is a sentence."""
+    def release(self, shard: int) -> defer.Deferred[backend.ReleaseResult]:
+        """Return a Deferred of the outcome."""
         if self.waiting is not None:
-            busy: Outcome = result.Err("another release runs; try again")
+            busy: backend.ReleaseResult = result.Err(
+                backend.ReleaseError(
+                    reason="another release runs; try again", is_certain=True
+                )
+            )
             return defer.succeed(busy)
-        waiting: defer.Deferred[Outcome] = defer.Deferred()
+        waiting: defer.Deferred[backend.ReleaseResult] = defer.Deferred()
         self.waiting = waiting
         now = self.node.timers.now()
         self.node.perform(self.ownership, self.ownership.release(shard, now))
@@ -44,8 +48,13 @@
             lambda now: self.finish(
                 waiting,
                 result.Err(
-                    "the table did not answer; the shard may be released, "
-                    "release it again to be sure"
+                    backend.ReleaseError(
+                        reason=(
+                            "the table did not answer; the shard may be "
+                            "released, release it again to be sure"
+                        ),
+                        is_certain=False,
+                    )
                 ),
             ),
         )
@@ -58,10 +67,15 @@
         if action.choice == RELEASED:
             self.finish(self.waiting, result.Ok(None))
         else:
-            self.finish(self.waiting, result.Err(action.reason))
+            error = backend.ReleaseError(
+                reason=action.reason, is_certain=action.choice == REFUSED
+            )
+            self.finish(self.waiting, result.Err(error))
 
     def finish(
-        self, waiting: defer.Deferred[Outcome], outcome: Outcome
+        self,
+        waiting: defer.Deferred[backend.ReleaseResult],
+        outcome: backend.ReleaseResult,
     ) -> None:
         """End the release that ``waiting`` stands for."""
         if self.waiting is waiting:
--- a/testing/api/conftest.py
+++ b/testing/api/conftest.py
@@ -60,6 +60,7 @@
         self.proposed = []
         self.proposal = None
         self.released = []
+        self.release_refusal = None
         self.explained = ()
 
     def new_id(self):
@@ -111,6 +112,8 @@
 
     def release_shard(self, shard):
         self.released.append(shard)
+        if self.release_refusal is not None:
+            return defer.succeed(result.Err(self.release_refusal))
         return defer.succeed(result.Ok(None))
 
     def is_ready(self):
--- a/testing/api/test_operations.py
+++ b/testing/api/test_operations.py
@@ -6,6 +6,7 @@
 from _jasminewind import changes
 from _jasminewind import members
 from _jasminewind import resources
+from _jasminewind.api import backend as backends
 from _jasminewind.api import configs
 from _jasminewind.api.pb import errors_pb2
 
@@ -222,6 +223,26 @@
     assert api.backend.released == [1]
 
 
+@pytest.mark.parametrize(
+    "is_certain, code, outcome",
+    [
+        (True, "failed_precondition", "NOT_RUN"),
+        (False, "unavailable", "MAY_HAVE_RUN"),
+    ],
+)
+def test_refused_release_tells_whether_it_is_certain(
+    api, is_certain, code, outcome
+):
+    """Guards against an operator who takes a refusal for a lost answer."""
+    api.backend.release_refusal = backends.ReleaseError(
+        reason="the owner is live", is_certain=is_certain
+    )
+    body = {"shard": 1, "earlierProcessesGone": True}
+    response = api.call("OperationsService/ReleaseShard", body).response
+    assert response.json["code"] == code
+    assert response.json["details"][0]["debug"]["outcome"] == outcome
+
+
 def test_explain_returns_the_decisions(api):
     """Guards against log entries that are lost because one is odd."""
     api.backend.explained = ('{"kind":"route","choice":"w1"}', "not json")
--- a/testing/decisions/test_ownership.py
+++ b/testing/decisions/test_ownership.py
@@ -135,6 +135,23 @@
     assert standing(cell, owner, 0) == "accept"
 
 
+def test_release_after_another_process_has_claimed_the_orphan(cell):
+    """Guards against an outage of a span that no operator can end."""
+    for node in list(cell.nodes):
+        cell.crash(node)
+        cell.add(node.index, incarnation=2)
+    cell.advance(60.0)
+    (owner,) = cell.owners()
+    assert standing(cell, owner, 0) != "accept"
+    helper = next(n for n in cell.nodes if n.alive and n is not owner)
+    cell.run(helper, helper.ownership.release(0, cell.at(helper)))
+    cell.advance(90.0)
+    (owner,) = cell.owners()
+    assert standing(cell, owner, 0) == "accept"
+    cell.advance(1000.0, step_s=1.0)
+    assert not cell.overlaps()
+
+
 def test_release_of_a_live_shard_is_refused(cell):
     """Guards against an operator's mistake that ends a live owner."""
     helper = cell.nodes[0]
