Move the outbox and the candidates out of the dispatcher

Cause: the dispatcher had grown to more than 1,000 lines with several jobs.

Change: collecting messages of a round is outbox.py, finding keepers for a task is candidates.py. No behaviour changes.

Conclusion: a newcomer finds both by name.

--- a/src/_jasminewind/decisions/dispatcher.py
+++ b/src/_jasminewind/decisions/dispatcher.py
@@ -11,7 +11,9 @@
 from _jasminewind import members
 from _jasminewind import metrics
 from _jasminewind import resources
+from _jasminewind.decisions import candidates
 from _jasminewind.decisions import core
+from _jasminewind.decisions import outbox
 from _jasminewind.decisions import outliers
 from _jasminewind.decisions import placement
 from _jasminewind.decisions import pools
@@ -37,10 +39,6 @@
 # Pause after a refusal; it doubles with each refusal in a row.
 REFUSAL_PAUSE_S = 0.02
 MAX_REFUSAL_PAUSE_S = 2.0
-# Keepers with room that are compared for one task.
-MAX_COMPARED = 16
-# Keepers that are looked at for one task, with or without room for it.
-MAX_EXAMINED = 48
 # Heads of a queue that are passed over in one round because they fit
 # nowhere now, so that smaller tasks behind them can start.
 MAX_PASSED_OVER = 4
@@ -116,9 +114,7 @@
         self.answers: list[work.Answer] = []
         self.ended: list[runs.Run] = []
         self.actions: core.Actions = []
-        self.starts: dict[pools.KeeperState, list[tasks.TaskStart]] = {}
-        self.stops: dict[pools.KeeperState, list[tasks.TaskKey]] = {}
-        self.queries: dict[pools.KeeperState, list[tasks.TaskKey]] = {}
+        self.outbox = outbox.Outbox()
 
     # Configuration and members
 
@@ -242,8 +238,7 @@
         pool = keeper.pool
         pool.drop_keeper(keeper)
         pool.recount()
-        self.stops.pop(keeper, None)
-        self.queries.pop(keeper, None)
+        self.outbox.forget(keeper)
         for attempt in list(keeper.outstanding.values()):
             self.resolve(attempt, now)
             attempt.task.maybe_run = True
@@ -422,13 +417,17 @@
             if head is None:
                 break
             team, task = head
-            candidates = self.candidates(pool, task, now.mono_s)
-            if candidates:
-                keeper = self.policy.choose(candidates, task, now.mono_s)
+            found = candidates.find(
+                pool,
+                task,
+                separate_long_work=self.config.policy.separate_long_work,
+            )
+            if found:
+                keeper = self.policy.choose(found, task, now.mono_s)
                 if self.policy.should_wait(keeper, len(queue)):
                     break
                 queue.take(team, task)
-                self.start(task, keeper, candidates, now)
+                self.start(task, keeper, found, now)
                 continue
             # Requests all need one slot; only jobs differ in size.
             waited_s = now.mono_s - task.queued_s
@@ -448,44 +447,11 @@
         if passed_over:
             pool.dirty = False
 
-    def candidates(
-        self, pool: pools.Pool, task: runs.TaskRun, now_s: float
-    ) -> list[pools.KeeperState]:
-        """Return keepers that can take ``task`` now."""
-        del now_s
-        found: list[pools.KeeperState] = []
-        avoided: list[pools.KeeperState] = []
-        misfits: list[pools.KeeperState] = []
-        is_long = task.is_long and self.config.policy.separate_long_work
-        needs_spread = not task.run.is_request and task.run.placed > 0
-        examined = 0
-        for keeper in pool.open:
-            examined += 1
-            if not pool.binds_early and not (
-                keeper.fits(task.amounts, is_long)
-                or (not is_long and keeper.may_probe())
-            ):
-                misfits.append(keeper)
-            elif task.avoid and keeper.node.name in task.avoid:
-                avoided.append(keeper)
-            else:
-                found.append(keeper)
-                if len(found) >= MAX_COMPARED and not pool.binds_early:
-                    if not needs_spread or spreads(found, task):
-                        break
-            if examined >= MAX_EXAMINED and not pool.binds_early:
-                break
-        for keeper in misfits:
-            # Those at the end are looked at first next time.
-            del pool.open[keeper]
-            pool.open[keeper] = None
-        return found or avoided
-
     def start(
         self,
         task: runs.TaskRun,
         keeper: pools.KeeperState,
-        candidates: list[pools.KeeperState],
+        found: list[pools.KeeperState],
         now: core.Instant,
     ) -> None:
         """Send one start to one keeper, once."""
@@ -505,19 +471,20 @@
             content.demand != task.demand
         ):
             content = dataclasses.replace(content, demand=task.demand)
-        self.starts.setdefault(keeper, []).append(
+        self.outbox.start(
+            keeper,
             tasks.TaskStart(
                 key=key,
                 team=run.team,
                 task=content,
                 budget_s=max(run.deadline_s - now_s, 0.0),
                 is_long=task.is_long,
-            )
+            ),
         )
         self.measure_start(attempt, now_s)
         self.plan_checks(attempt, now_s)
         run.pool.refresh(keeper, now_s)
-        self.log_start(attempt, candidates)
+        self.log_start(attempt, found)
 
     def measure_start(self, attempt: runs.Attempt, now_s: float) -> None:
         """Count a start and the time its task was queued."""
@@ -533,12 +500,12 @@
         self.meter.add(again, team=team)
 
     def log_start(
-        self, attempt: runs.Attempt, candidates: list[pools.KeeperState]
+        self, attempt: runs.Attempt, found: list[pools.KeeperState]
     ) -> None:
         """Log why a keeper was chosen."""
         task = attempt.task
         keeper = attempt.keeper
-        names = [each.node.name for each in candidates[:MAX_LOGGED_CANDIDATES]]
+        names = [each.node.name for each in found[:MAX_LOGGED_CANDIDATES]]
         self.actions.append(
             core.LogDecision(
                 kind="routing" if task.run.is_request else "placement",
@@ -633,7 +600,7 @@
 
     def query(self, attempt: runs.Attempt, now_s: float) -> None:
         """Ask the keeper what became of a start."""
-        self.queries.setdefault(attempt.keeper, []).append(attempt.key)
+        self.outbox.query(attempt.keeper, attempt.key)
         wait_s = QUERY_RETRY_S * 2.0 ** min(attempt.queries, 3)
         attempt.queries += 1
         attempt.due_s = now_s + min(wait_s, MAX_QUERY_RETRY_S)
@@ -644,7 +611,7 @@
             return
         attempt.stopping = True
         attempt.hedge_s = 0.0
-        self.stops.setdefault(attempt.keeper, []).append(attempt.key)
+        self.outbox.stop(attempt.keeper, attempt.key)
 
     # What keepers say
 
@@ -725,7 +692,7 @@
             usual_s = max(attempt.task.cost_s, MIN_DUE_S)
             attempt.due_s = now.mono_s + usual_s
             if attempt.stopping:
-                self.stops.setdefault(attempt.keeper, []).append(attempt.key)
+                self.outbox.stop(attempt.keeper, attempt.key)
             return
         if attempt.queries >= MAX_UNKNOWN_REPLIES:
             self.resolve(attempt, now)
@@ -1012,22 +979,7 @@
                 self.fill(pool, now)
         actions = self.actions
         self.actions = []
-        for keeper, starts in self.starts.items():
-            if starts:
-                message = tasks.StartTasks(
-                    keeper=keeper.node,
-                    starts=tuple(starts),
-                    config_version=self.config.version,
-                )
-                actions.append(send(keeper, message))
-        for keeper, keys in self.stops.items():
-            actions.append(send(keeper, tasks.StopTasks(keys=tuple(keys))))
-        for keeper, keys in self.queries.items():
-            query = tasks.QueryTasks(keeper=keeper.node, keys=tuple(keys))
-            actions.append(send(keeper, query))
-        self.starts.clear()
-        self.stops.clear()
-        self.queries.clear()
+        actions.extend(self.outbox.flush(self.config.version))
         return actions
 
 
@@ -1036,17 +988,3 @@
     if endpoint.kind == members.EndpointKind.WORKER:
         return pools.PoolKey(endpoint.kind, "")
     return pools.PoolKey(endpoint.kind, endpoint.service)
-
-
-def send(keeper: pools.KeeperState, message: object) -> core.Send:
-    """Return the action that sends ``message`` to a keeper."""
-    return core.Send(to=keeper.node, address=keeper.address, message=message)
-
-
-def spreads(found: list[pools.KeeperState], task: runs.TaskRun) -> bool:
-    """Tell whether a candidate avoids a domain that holds the whole job."""
-    run = task.run
-    return any(
-        run.spread.get(each.member.failure_domain, 0) < run.placed
-        for each in found
-    )
