--- a/tools/capacity_page.py
+++ b/tools/capacity_page.py
@@ -272,8 +272,8 @@
         )
         found.append(
             Budget(
-                name=f"link bytes, {duty}, idle fleet, median",
-                value=figures.fleet(f"idle, {duty}: traffic median"),
+                name=f"link bytes, {duty}, idle fleet, highest",
+                value=figures.fleet(f"idle, {duty}: traffic highest"),
                 unit="B/s",
                 bound=BYTES_BOUND,
                 source="measured, fleet",
