Use the one address constant, and remove code that nothing calls

Cause: a read-through found a second definition of members.NO_ADDRESS in the coordinator, and three names without a caller: Holding.effective in capacity.py, Fleet.log_of and LARGEST_LATENESS_S.

Change: the coordinator uses members.NO_ADDRESS; the three are gone. No behaviour changes.

--- a/src/_jasminewind/decisions/capacity.py
+++ b/src/_jasminewind/decisions/capacity.py
@@ -31,13 +31,6 @@
     is_long: bool
     is_throttled: bool = False
 
-    def effective(self) -> resources.Resources:
-        """Return what the task holds now, less when it is throttled."""
-        if not self.is_throttled:
-            return self.held
-        cores = self.held.cores * THROTTLED_SHARE
-        return dataclasses.replace(self.held, cores=cores)
-
 
 def clipped(amount: resources.Resources) -> resources.Resources:
     """Return ``amount`` without negative parts, rounded."""
--- a/src/_jasminewind/decisions/coordinator.py
+++ b/src/_jasminewind/decisions/coordinator.py
@@ -29,9 +29,6 @@
 # Submissions that may wait for ownership or configuration at once.
 MAX_PENDING = 2_000
 EXPIRE_PERIOD_S = 10.0
-# Entries are not members of the cell; the node has a link to the sender of
-# every message and needs no address to answer on it.
-NO_ADDRESS = members.Address("", 0)
 
 
 class Ownership(typing.Protocol):
@@ -228,7 +225,9 @@
 
     def reply(self, to: members.NodeId, message: object) -> core.Action:
         """Return the action that sends ``message`` to a requester."""
-        address = self.addresses.get(to, NO_ADDRESS)
+        # Entries are not members of the cell; the answer goes out on the
+        # link on which their message came.
+        address = self.addresses.get(to, members.NO_ADDRESS)
         return core.Send(to=to, address=address, message=message)
 
     # Submissions
--- a/src/_jasminewind/experiment/fleets.py
+++ b/src/_jasminewind/experiment/fleets.py
@@ -116,10 +116,6 @@
             process.wait()
         self.processes.clear()
 
-    def log_of(self, name: str) -> str:
-        """Return what a process has written."""
-        return (self.folder / f"{name}.log").read_text()
-
     def agent_status(self, name: str) -> dict[str, typing.Any]:
         """Return the status of an agent, by its local port."""
         chosen = self.settings_of(name)
--- a/src/_jasminewind/experiment/load.py
+++ b/src/_jasminewind/experiment/load.py
@@ -30,7 +30,6 @@
 # An entry that refuses connections or is not ready is passed over for this
 # long, as by a balancer's health check.
 AVOID_ENTRY_S = 0.5
-LARGEST_LATENESS_S = 60.0
 
 
 @dataclasses.dataclass(kw_only=True)
