--- /dev/null
+++ b/src/_jasminewind/decisions/jobs/agents.py
@@ -0,0 +1,106 @@
+"""Agents as an entry sees them."""
+
+import dataclasses
+
+from _jasminewind import members
+from _jasminewind import resources
+from _jasminewind.decisions.jobs import leases
+from _jasminewind.decisions.jobs import tracking
+from _jasminewind.messages import runs
+
+# An agent that is silent for longer gets no new work; two beats are 0.4 s.
+FRESH_S = 0.5
+# Jobs in a row, each different, whose runs failed at one agent before it is
+# taken for faulty. One job that can never succeed fails everywhere.
+EJECT_AFTER_JOBS = 3
+# Time without new work for a faulty agent; it doubles with each ejection.
+EJECTION_S = 1.0
+MAX_EJECTION_S = 8.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Batch:
+    """Starts that the last known load may not count yet."""
+
+    number: int
+    need: resources.Resources
+
+
+class Agent:
+    """One agent, its endpoint, and what this entry runs there."""
+
+    def __init__(self, node: members.NodeId) -> None:
+        self.node = node
+        self.endpoint: runs.EndpointRecord | None = None
+        self.load = runs.AgentLoad(sequence=0)
+        self.heard_s = 0.0
+        self.grant = 0
+        self.next_batch = 1
+        self.batches: list[Batch] = []
+        self.unreported = resources.NOTHING
+        self.runs: dict[runs.RunKey, tracking.Run] = {}
+        self.must_query = False
+        self.failed_jobs: set[str] = set()
+        self.ejected_until_s = 0.0
+        self.ejections = 0
+
+    def take_beat(self, beat: runs.AgentBeat, now_s: float) -> None:
+        """Take a grant and the load that comes with it."""
+        if beat.sequence <= self.grant:
+            return
+        self.grant = beat.sequence
+        self.heard_s = now_s
+        self.endpoint = beat.endpoint
+        self.take_load(beat.load)
+
+    def take_load(self, load: runs.AgentLoad) -> None:
+        """Take a load, unless a later one is known."""
+        if load.sequence <= self.load.sequence:
+            return
+        self.load = load
+        if load.batch:
+            self.batches = [b for b in self.batches if b.number > load.batch]
+            self.unreported = resources.NOTHING
+            for batch in self.batches:
+                self.unreported += batch.need
+
+    def add(self, run: tracking.Run) -> None:
+        """Count a run that is about to be ordered in the next batch."""
+        self.runs[run.key] = run
+        need = run.task.shape.need
+        self.batches.append(Batch(number=self.next_batch, need=need))
+        self.unreported += need
+
+    def free(self) -> resources.Resources:
+        """Return what is free, as far as this entry knows."""
+        return self.load.free - self.unreported
+
+    def is_usable(self, now_s: float) -> bool:
+        """Tell whether new runs may be ordered here."""
+        return (
+            self.endpoint is not None
+            and self.load.accepting
+            and not self.must_query
+            and now_s - self.heard_s <= FRESH_S
+            and now_s >= self.ejected_until_s
+        )
+
+    def is_lost(self, now_s: float) -> bool:
+        """Tell whether every run here has certainly ended by now."""
+        return now_s - self.heard_s > leases.AGENT_LOST_S
+
+    def succeeded(self) -> None:
+        """Note a run that was done."""
+        self.failed_jobs.clear()
+        self.ejections = 0
+
+    def failed(self, job: str, now_s: float) -> bool:
+        """Note a failed run; tell whether the agent is ejected by it."""
+        self.failed_jobs.add(job)
+        if len(self.failed_jobs) < EJECT_AFTER_JOBS:
+            return False
+        self.failed_jobs.clear()
+        pause_s = min(EJECTION_S * 2.0**self.ejections, MAX_EJECTION_S)
+        self.ejected_until_s = now_s + pause_s
+        self.ejections += 1
+        return True
--- /dev/null
+++ b/src/_jasminewind/decisions/jobs/backlog.py
@@ -0,0 +1,85 @@
+"""Order in which waiting tasks of an entry start.
+
+Tasks whose job can still be on time come first, by the latest start that
+keeps it so. Then come late jobs, then overdue ones. In an overload this
+serves as many jobs in time as there is room for, where the earliest
+deadline alone would make every job a little late.
+"""
+
+import heapq
+import itertools
+import typing
+
+from _jasminewind.decisions.jobs import tracking
+
+
+class Entry(typing.NamedTuple):
+    """A waiting task with the latest start of its class."""
+
+    latest_s: float
+    sequence: int
+    task: tracking.Task
+
+
+ON_TIME, LATE, OVERDUE = range(3)
+
+
+class Backlog:
+    """Waiting tasks in the order of their start."""
+
+    def __init__(self) -> None:
+        self.heaps: tuple[list[Entry], ...] = ([], [], [])
+        self.sequence = itertools.count()
+        self.size = 0
+        self.core_s = 0.0
+
+    def push(self, task: tracking.Task) -> None:
+        """Let a task wait."""
+        task.is_waiting = True
+        self.size += 1
+        self.core_s += work_core_s(task)
+        remaining_s = task.job.remaining_s(task.step)
+        latest_s = task.job.due_s - remaining_s
+        self.put(ON_TIME, latest_s, task)
+
+    def put(self, rank: int, latest_s: float, task: tracking.Task) -> None:
+        """Add an entry to the heap of a class."""
+        entry = Entry(latest_s, next(self.sequence), task)
+        heapq.heappush(self.heaps[rank], entry)
+
+    def drop(self, task: tracking.Task) -> None:
+        """Take a task out of the order; its entry is skipped later."""
+        if task.is_waiting:
+            task.is_waiting = False
+            self.size -= 1
+            self.core_s -= work_core_s(task)
+        if not self.size:
+            self.core_s = 0.0
+
+    def pop(self, now_s: float) -> tracking.Task | None:
+        """Take the next task, or nothing when none waits."""
+        self.demote(now_s)
+        for heap in self.heaps:
+            while heap:
+                task = heapq.heappop(heap).task
+                if task.is_waiting:
+                    self.drop(task)
+                    return task
+        return None
+
+    def demote(self, now_s: float) -> None:
+        """Move tasks whose latest start has passed to the next class."""
+        for rank in (ON_TIME, LATE):
+            heap = self.heaps[rank]
+            while heap and heap[0].latest_s < now_s:
+                task = heapq.heappop(heap).task
+                if task.is_waiting:
+                    latest_s = task.job.late_s
+                    latest_s -= task.job.remaining_s(task.step)
+                    self.put(rank + 1, latest_s, task)
+
+
+def work_core_s(task: tracking.Task) -> float:
+    """Return the estimated core-seconds of a task."""
+    shape = task.shape
+    return shape.need.cores * shape.estimate_s
--- /dev/null
+++ b/src/_jasminewind/decisions/jobs/keeper.py
@@ -0,0 +1,643 @@
+"""What one agent starts, stops and keeps alive on its endpoint."""
+
+import collections
+import dataclasses
+import typing
+
+from _jasminewind import members
+from _jasminewind import resources
+from _jasminewind.decisions import core
+from _jasminewind.decisions.jobs import actions
+from _jasminewind.decisions.jobs import grants
+from _jasminewind.decisions.jobs import leases
+from _jasminewind.decisions.jobs import room
+from _jasminewind.messages import runs
+
+# An unanswered stop is sent again after this time.
+STOP_RETRY_S = 0.3
+# The endpoint answers a renewal after this time when nothing ends, so that
+# a lease of 1 s is renewed twice before it lapses.
+RENEW_WAIT_S = 0.4
+# Pause after a renewal without an answer.
+RENEW_RETRY_S = 0.05
+# Ends are kept this long for an owner whose link was replaced; an owner
+# gives an agent up after less.
+KEEP_ENDS_S = 10.0
+# An endpoint announces itself every 1.5 s; after three times that, and with
+# every lease long lapsed, it is gone.
+ENDPOINT_GONE_S = 4.5
+# Step of the fencing token when the endpoint has seen a higher one, which
+# happens after its wall clock was set back. In ms, as the token.
+FENCE_STEP = 10_000
+# Weight of one run in the mean of run time divided by estimate.
+SLOWNESS_WEIGHT = 0.1
+# One run counts within this factor of the mean, as estimates are rough.
+MAX_SLOWNESS_SAMPLE = 4.0
+# Estimates below this are not used to learn, in seconds.
+MIN_ESTIMATE_S = 0.005
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class KeptEnd:
+    """An end that its owner may still ask for."""
+
+    end: runs.RunEnd
+    at_s: float
+
+
+class Keeper(core.Decision):
+    """Guards the capacity of one endpoint and the starts on it.
+
+    Runs live only as long as their owner confirms beats and as long as
+    this agent renews the endpoint's lease.
+    """
+
+    TICK_S = 0.05
+
+    def __init__(self) -> None:
+        self.endpoint: runs.EndpointRecord | None = None
+        self.announced_s = 0.0
+        self.lease = leases.EndpointLease()
+        self.fence = 0
+        self.last_end = 0
+        self.is_settled = False
+        self.is_draining = False
+        self.is_leaving = False
+        self.is_renewing = False
+        self.renew_at_s = 0.0
+        self.room = room.Room()
+        self.grants = grants.Grants()
+        self.kept: dict[runs.RunKey, KeptEnd] = {}
+        self.unknown_stops: dict[runs.RunKey, float] = {}
+        self.load_sequence = 0
+        self.load_changed = False
+        self.slowness = 1.0
+        self.ends: dict[members.NodeId, list[runs.RunEnd]] = (
+            collections.defaultdict(list)
+        )
+        self.actions: core.Actions = []
+
+    def handles(self) -> typing.Iterable[type]:
+        """Return the messages of owners."""
+        return (
+            runs.BeatEcho,
+            runs.StartRuns,
+            runs.StopRuns,
+            runs.QueryRuns,
+        )
+
+    def flush(self) -> core.Actions:
+        """Return what was asked for, with the ends for each owner."""
+        for owner, ends in self.ends.items():
+            message = runs.RunsEnded(ends=tuple(ends), load=self.load(owner))
+            self.actions.append(actions.send(owner, message))
+        self.ends.clear()
+        taken, self.actions = self.actions, []
+        return taken
+
+    def log(
+        self, kind: str, reason: str, key: runs.RunKey | None = None
+    ) -> None:
+        """Log one decision, on a run where there is one."""
+        task = "" if key is None else str(key)
+        self.actions.append(
+            core.LogDecision(
+                kind=kind,
+                work_id=task.partition(".")[0],
+                task=task,
+                choice="" if self.endpoint is None else self.endpoint.name,
+                reason=reason,
+            )
+        )
+
+    # The endpoint
+
+    def set_entries(self, entries: tuple[members.Address, ...]) -> None:
+        """Take the addresses of the entries to send beats to."""
+        self.grants.entries = entries
+
+    def on_endpoint(
+        self,
+        record: runs.EndpointRecord,
+        *,
+        clock_ms: int,
+        is_draining: bool,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Take an announcement of the endpoint."""
+        known = self.endpoint
+        self.announced_s = now.mono_s
+        if known is None or known.name != record.name:
+            self.attach(record, clock_ms, now)
+        elif record.born_ms < known.born_ms:
+            return []
+        elif record.born_ms > known.born_ms:
+            self.attach(record, clock_ms, now)
+        elif record != known:
+            self.endpoint = record
+            self.room.capacity = record.capacity
+            self.load_changed = True
+        if is_draining != self.is_draining:
+            self.is_draining = is_draining
+            self.load_changed = True
+            self.log("endpoint_state", f"draining: {is_draining}")
+            if is_draining:
+                self.refuse_queue("the endpoint is draining", now)
+        self.pump(now)
+        return self.flush()
+
+    def attach(
+        self, record: runs.EndpointRecord, clock_ms: int, now: core.Instant
+    ) -> None:
+        """Begin with a new life of the endpoint."""
+        self.lose_everything("the endpoint was replaced", now)
+        self.endpoint = record
+        self.room.capacity = record.capacity
+        self.is_draining = False
+        self.lease = leases.EndpointLease()
+        self.lease.heard(clock_ms, now.mono_s)
+        # Wall time of the endpoint, so that the token rises with each
+        # process here and with each life of the endpoint.
+        self.fence = max(self.fence + 1, record.born_ms + clock_ms)
+        self.last_end = 0
+        self.is_settled = False
+        self.is_renewing = False
+        self.unknown_stops.clear()
+        self.load_changed = True
+        self.log("attach", f"fence {self.fence}, {record.capacity}")
+        self.renew(now)
+
+    def on_left(self, name: str, now: core.Instant) -> core.Actions:
+        """Take the endpoint's word that it ends now."""
+        if self.endpoint is not None and self.endpoint.name == name:
+            self.forget_endpoint("it said that it leaves", now)
+        return self.flush()
+
+    def forget_endpoint(self, why: str, now: core.Instant) -> None:
+        """Give the endpoint up until it announces itself again."""
+        self.lose_everything(why, now)
+        self.log("endpoint_gone", why)
+        self.endpoint = None
+        self.is_settled = False
+        self.load_changed = True
+
+    def lose_everything(self, why: str, now: core.Instant) -> None:
+        """End every run, because the endpoint certainly runs none."""
+        for run in list(self.room.runs.values()):
+            outcome = runs.RunOutcome.LAPSED
+            if run.state is room.RunState.QUEUED:
+                outcome = runs.RunOutcome.NOT_STARTED
+            self.end(run, outcome, now, reason=why)
+
+    def is_accepting(self) -> bool:
+        """Tell whether new runs are taken."""
+        return (
+            self.endpoint is not None
+            and self.is_settled
+            and not self.is_draining
+            and not self.is_leaving
+        )
+
+    def leave(self, now: core.Instant) -> core.Actions:
+        """Take no new runs; those that run may end."""
+        self.is_leaving = True
+        self.load_changed = True
+        self.refuse_queue("the agent is shutting down", now)
+        return self.flush()
+
+    def refuse_queue(self, why: str, now: core.Instant) -> None:
+        """Give back everything that has not started."""
+        for run in list(self.room.queue):
+            self.end(run, runs.RunOutcome.NOT_STARTED, now, reason=why)
+
+    def is_idle(self) -> bool:
+        """Tell whether nothing runs or waits."""
+        return not self.room.runs
+
+    # Owners
+
+    def on_message(
+        self, sender: members.NodeId, message: object, now: core.Instant
+    ) -> core.Actions:
+        """Take a message of an owner."""
+        if isinstance(message, runs.BeatEcho):
+            if self.grants.confirm(sender, message.sequence):
+                self.log("owner", f"{sender} uses this agent")
+        elif isinstance(message, runs.StartRuns):
+            self.on_start(sender, message, now)
+        elif isinstance(message, runs.StopRuns):
+            for key in message.keys:
+                run = self.room.runs.get(key)
+                if run is not None and run.owner == sender:
+                    self.stop(run, runs.RunOutcome.STOPPED, now)
+        elif isinstance(message, runs.QueryRuns):
+            self.on_query(sender, message, now)
+        return self.flush()
+
+    def on_start(
+        self,
+        sender: members.NodeId,
+        message: runs.StartRuns,
+        now: core.Instant,
+    ) -> None:
+        """Queue the runs of one batch, or refuse them as not started."""
+        owner = self.grants.owner(sender)
+        owner.batch = max(owner.batch, message.batch)
+        age_s = self.grants.age_s(message.grant, now.mono_s)
+        if age_s <= leases.OWNER_GRANT_S:
+            # A start under a grant proves its owner to be alive as well
+            # as an echo does.
+            self.grants.confirm(sender, message.grant)
+        for order in message.orders:
+            why = self.refusal(order, age_s)
+            if why:
+                self.log("refuse_run", why, order.key)
+                self.refuse(sender, order.key, why, now)
+            else:
+                due_s = now.mono_s + order.slack_s
+                self.room.enqueue(room.Run(order, sender, due_s))
+        self.load_changed = True
+        self.pump(now)
+
+    def refusal(self, order: runs.RunOrder, age_s: float) -> str:
+        """Return why an order cannot be taken, empty when it can."""
+        if not self.is_accepting():
+            return "the endpoint takes no new work"
+        if age_s > leases.OWNER_GRANT_S:
+            return f"the grant is {age_s:.2f} s old"
+        if order.key in self.kept:
+            return "the run has already ended"
+        return self.room.refusal(order)
+
+    def refuse(
+        self,
+        owner: members.NodeId,
+        key: runs.RunKey,
+        why: str,
+        now: core.Instant,
+    ) -> None:
+        """Report a run that will never start here."""
+        end = runs.RunEnd(
+            key=key, outcome=runs.RunOutcome.NOT_STARTED, reason=why
+        )
+        if key not in self.room.runs:
+            self.kept.setdefault(key, KeptEnd(end=end, at_s=now.mono_s))
+        self.ends[owner].append(end)
+
+    def on_query(
+        self,
+        sender: members.NodeId,
+        message: runs.QueryRuns,
+        now: core.Instant,
+    ) -> None:
+        """Report which runs have ended or were never seen."""
+        for key in message.keys:
+            if key in self.room.runs:
+                continue
+            kept = self.kept.get(key)
+            if kept is not None:
+                self.ends[sender].append(kept.end)
+            else:
+                self.refuse(sender, key, "its order never arrived", now)
+
+    def expire_owners(self, now: core.Instant) -> None:
+        """Stop the runs of owners that are silent for too long."""
+        for owner in self.grants.expire(now.mono_s):
+            orphans = [
+                run
+                for run in self.room.runs.values()
+                if run.owner == owner.node
+            ]
+            silent_s = now.mono_s - owner.granted_s
+            self.log(
+                "owner_lost",
+                f"{owner.node} confirmed no beat for {silent_s:.2f} s; "
+                f"{len(orphans)} runs are stopped",
+            )
+            for run in orphans:
+                self.stop(run, runs.RunOutcome.STOPPED, now)
+
+    # Starts and stops
+
+    def pump(self, now: core.Instant) -> None:
+        """Start what waits while it fits."""
+        if self.endpoint is None or not self.is_accepting():
+            return
+        while run := self.room.next_to_start():
+            run.deadline_ms = self.lease.next_deadline_ms(now.mono_s)
+            self.actions.append(
+                actions.CallStart(
+                    endpoint=self.endpoint,
+                    fence=self.fence,
+                    order=run.order,
+                    deadline_ms=run.deadline_ms,
+                )
+            )
+
+    def on_start_reply(
+        self, key: runs.RunKey, reply: actions.CallReply, now: core.Instant
+    ) -> core.Actions:
+        """Take the endpoint's answer to a start."""
+        self.hear(reply, now)
+        run = self.room.runs.get(key)
+        if run is None or run.state is not room.RunState.STARTING:
+            return self.flush()
+        if reply.outcome is actions.CallOutcome.DONE:
+            run.state = room.RunState.RUNNING
+            run.started_s = now.mono_s
+            run.seen.begin(now.mono_s)
+        elif reply.outcome is actions.CallOutcome.LOST:
+            run.state = room.RunState.DOUBTFUL
+            self.log("start_unanswered", reply.reason, key)
+            self.stop(run, runs.RunOutcome.LAPSED, now)
+        else:
+            outcome = runs.RunOutcome.NOT_STARTED
+            if reply.outcome is actions.CallOutcome.OUTDATED:
+                outcome = runs.RunOutcome.OUTDATED
+            why = f"{reply.outcome.value}: {reply.reason}"
+            self.log("start_refused", why, key)
+            self.end(run, outcome, now, reason=why)
+        self.pump(now)
+        return self.flush()
+
+    def hear(self, reply: actions.CallReply, now: core.Instant) -> None:
+        """Learn the clock of the endpoint, and of a higher token."""
+        if reply.clock_ms:
+            self.lease.heard(reply.clock_ms, now.mono_s)
+        if reply.outcome is actions.CallOutcome.FENCED:
+            self.fence += FENCE_STEP
+            self.log("fence", f"raised to {self.fence}")
+
+    def stop(
+        self,
+        run: room.Run,
+        outcome: runs.RunOutcome,
+        now: core.Instant,
+    ) -> None:
+        """Stop a run; one that still waits ends at once."""
+        if run.state is room.RunState.QUEUED:
+            outcome = runs.RunOutcome.NOT_STARTED
+            self.end(run, outcome, now, reason="stopped in the queue")
+        elif not run.stopping:
+            run.stopping = True
+            run.stop_outcome = outcome
+            run.stop_sent_s = now.mono_s
+            self.send_stop(run.key)
+
+    def send_stop(self, key: runs.RunKey) -> None:
+        """Ask the endpoint to stop a run."""
+        if self.endpoint is not None:
+            self.actions.append(
+                actions.CallStop(
+                    endpoint=self.endpoint, fence=self.fence, key=key
+                )
+            )
+
+    def on_stop_reply(
+        self, key: runs.RunKey, reply: actions.CallReply, now: core.Instant
+    ) -> core.Actions:
+        """Take the endpoint's answer to a stop."""
+        self.hear(reply, now)
+        run = self.room.runs.get(key)
+        if run is not None and reply.outcome is actions.CallOutcome.DONE:
+            run.stop_answered_s = now.mono_s
+        return self.flush()
+
+    def repeat_stops(self, now: core.Instant) -> None:
+        """Send stops again that were not answered."""
+        for run in self.room.runs.values():
+            waited_s = now.mono_s - run.stop_sent_s
+            if not run.stopping or run.stop_answered_s:
+                continue
+            if waited_s >= STOP_RETRY_S:
+                run.stop_sent_s = now.mono_s
+                self.send_stop(run.key)
+
+    # Renewals
+
+    def renew(self, now: core.Instant) -> None:
+        """Renew the lease, one call at a time."""
+        if self.endpoint is None or self.is_renewing:
+            return
+        self.is_renewing = True
+        deadline_ms = 0
+        if self.is_settled:
+            deadline_ms = self.lease.next_deadline_ms(now.mono_s)
+        self.actions.append(
+            actions.CallRenew(
+                endpoint=self.endpoint,
+                fence=self.fence,
+                deadline_ms=deadline_ms,
+                last_end=self.last_end,
+                wait_s=RENEW_WAIT_S if self.is_settled else 0.0,
+            )
+        )
+
+    def on_renewed(
+        self,
+        endpoint: runs.EndpointRecord,
+        reply: actions.RenewReply,
+        now: core.Instant,
+    ) -> core.Actions:
+        """Take the state of the endpoint, and renew again."""
+        known = self.endpoint
+        if known is None or known.name != endpoint.name:
+            return []
+        if known.born_ms != endpoint.born_ms:
+            return []
+        self.is_renewing = False
+        self.hear(
+            actions.CallReply(outcome=reply.outcome, clock_ms=reply.clock_ms),
+            now,
+        )
+        if reply.outcome is not actions.CallOutcome.DONE:
+            self.renew_at_s = now.mono_s + RENEW_RETRY_S
+            return self.flush()
+        self.take_ends(reply, now)
+        self.take_running(reply, now)
+        # A process that was paused stops the work of owners that gave it
+        # up before it renews the lease of that work.
+        self.expire_owners(now)
+        self.pump(now)
+        if self.is_settled:
+            self.renew(now)
+        else:
+            self.renew_at_s = now.mono_s + RENEW_RETRY_S
+        return self.flush()
+
+    def take_ends(self, reply: actions.RenewReply, now: core.Instant) -> None:
+        """Report the ends that the endpoint lists."""
+        for listed in reply.ended:
+            if listed.number <= self.last_end:
+                continue
+            self.last_end = listed.number
+            self.unknown_stops.pop(listed.key, None)
+            run = self.room.runs.get(listed.key)
+            if run is None:
+                continue
+            outcome = listed.outcome
+            if outcome is runs.RunOutcome.STOPPED:
+                outcome = run.stop_outcome
+            self.end(run, outcome, now, checkpoint=listed.checkpoint)
+
+    def take_running(
+        self, reply: actions.RenewReply, now: core.Instant
+    ) -> None:
+        """Compare what runs with what should run."""
+        listed = {each.key: each for each in reply.running}
+        unknown = [key for key in listed if key not in self.room.runs]
+        for key in unknown:
+            self.stop_unknown(key, now)
+        if not self.is_settled and not unknown and reply.complete:
+            self.is_settled = True
+            self.load_changed = True
+            self.log("settled", "no unknown run is left")
+        for run in list(self.room.runs.values()):
+            seen = listed.get(run.key)
+            if seen is not None:
+                self.take_progress(run, seen, now)
+            elif reply.complete and is_absent(run, reply):
+                self.end_absent(run, now)
+
+    def end_absent(self, run: room.Run, now: core.Instant) -> None:
+        """End a run that the endpoint does not list any more."""
+        outcome = runs.RunOutcome.LAPSED
+        if run.state is room.RunState.DOUBTFUL:
+            outcome = runs.RunOutcome.NOT_STARTED
+        why = "the endpoint does not list it"
+        self.log("run_absent", why, run.key)
+        self.end(run, outcome, now, reason=why)
+
+    def take_progress(
+        self, run: room.Run, seen: actions.RunningRun, now: core.Instant
+    ) -> None:
+        """Note the progress of a run; stop one that stands still."""
+        if run.state is not room.RunState.RUNNING or run.stopping:
+            return
+        run.seen.note(seen.percent, now.mono_s)
+        expected_s = run.order.estimate_s * self.slowness
+        if run.seen.is_stalled(expected_s, now.mono_s):
+            ran_s = now.mono_s - run.started_s
+            self.log(
+                "stall",
+                f"{seen.percent}% after {ran_s:.2f} s, "
+                f"{expected_s:.2f} s expected",
+                run.key,
+            )
+            self.stop(run, runs.RunOutcome.STALLED, now)
+
+    def stop_unknown(self, key: runs.RunKey, now: core.Instant) -> None:
+        """Stop a run that nobody here ordered or that was given up."""
+        sent_s = self.unknown_stops.get(key, -STOP_RETRY_S)
+        if now.mono_s - sent_s < STOP_RETRY_S:
+            return
+        self.unknown_stops[key] = now.mono_s
+        self.log("stop_unknown", "no owner here knows it", key)
+        self.send_stop(key)
+
+    # Ends
+
+    def end(
+        self,
+        run: room.Run,
+        outcome: runs.RunOutcome,
+        now: core.Instant,
+        *,
+        checkpoint: str = "",
+        reason: str = "",
+    ) -> None:
+        """Forget a run and report its end to its owner."""
+        self.room.remove(run)
+        run_s = now.mono_s - run.started_s if run.started_s else 0.0
+        if outcome is runs.RunOutcome.DONE:
+            self.learn(run.order.estimate_s, run_s)
+        end = runs.RunEnd(
+            key=run.key,
+            outcome=outcome,
+            run_s=run_s,
+            checkpoint=checkpoint,
+            reason=reason,
+        )
+        self.kept[run.key] = KeptEnd(end=end, at_s=now.mono_s)
+        self.ends[run.owner].append(end)
+        self.load_changed = True
+
+    def learn(self, estimate_s: float, run_s: float) -> None:
+        """Adjust the mean of run time divided by estimate."""
+        if estimate_s < MIN_ESTIMATE_S:
+            return
+        low = self.slowness / MAX_SLOWNESS_SAMPLE
+        high = self.slowness * MAX_SLOWNESS_SAMPLE
+        sample = min(max(run_s / estimate_s, low), high)
+        self.slowness += SLOWNESS_WEIGHT * (sample - self.slowness)
+
+    # Time and load
+
+    def on_tick(self, now: core.Instant) -> core.Actions:
+        """Send beats, expire owners, repeat calls and forget old ends."""
+        self.expire_owners(now)
+        self.repeat_stops(now)
+        if not self.is_renewing and now.mono_s >= self.renew_at_s:
+            self.renew(now)
+        if self.room.runs and self.lease.lapsed(now.mono_s):
+            self.log("lease_lapsed", "the endpoint does not answer")
+            self.lose_everything("the endpoint does not answer", now)
+            self.is_settled = False
+            self.load_changed = True
+        silent_s = now.mono_s - self.announced_s
+        if self.endpoint is not None and silent_s > ENDPOINT_GONE_S:
+            self.forget_endpoint(f"silent for {silent_s:.1f} s", now)
+        if now.mono_s >= self.grants.next_beat_s:
+            self.forget_ends(now)
+            self.actions += self.grants.beats(
+                self.load(), self.endpoint, now.mono_s
+            )
+            self.load_changed = False
+        elif self.load_changed:
+            self.load_changed = False
+            for node in self.grants.owners:
+                message = runs.LoadChanged(load=self.load(node))
+                self.actions.append(actions.send(node, message))
+        return self.flush()
+
+    def forget_ends(self, now: core.Instant) -> None:
+        """Forget ends that no owner asks for any more."""
+        limit_s = now.mono_s - KEEP_ENDS_S
+        for key, kept in list(self.kept.items()):
+            if kept.at_s > limit_s:
+                break
+            del self.kept[key]
+
+    def load(self, receiver: members.NodeId | None = None) -> runs.AgentLoad:
+        """Return the load to report to ``receiver``.
+
+        A beat goes to processes whose identity is not known yet, and
+        therefore names no batch.
+        """
+        self.load_sequence += 1
+        owner = self.grants.owners.get(receiver) if receiver else None
+        free = self.room.free()
+        return runs.AgentLoad(
+            sequence=self.load_sequence,
+            accepting=self.is_accepting(),
+            free=resources.Resources(
+                cores=round(free.cores, 3),
+                memory_mb=round(free.memory_mb, 3),
+                accelerators=round(free.accelerators, 3),
+            ),
+            running=len(self.room.runs) - len(self.room.queue),
+            queued=len(self.room.queue),
+            slowness=round(self.slowness, 3),
+            owners=max(len(self.grants.owners), 1),
+            batch=owner.batch if owner else 0,
+        )
+
+
+def is_absent(run: room.Run, reply: actions.RenewReply) -> bool:
+    """Tell whether a run that is not listed certainly does not run."""
+    if run.state is room.RunState.RUNNING:
+        return run.started_s < reply.sent_s
+    if run.state is room.RunState.DOUBTFUL:
+        was_stopped = 0.0 < run.stop_answered_s < reply.sent_s
+        return was_stopped or reply.clock_ms > run.deadline_ms
+    return False
--- /dev/null
+++ b/src/_jasminewind/decisions/jobs/tracking.py
@@ -0,0 +1,103 @@
+"""Jobs, tasks and runs as the entry that owns them tracks them."""
+
+import dataclasses
+import typing
+
+from _jasminewind.decisions.jobs import specs
+from _jasminewind.messages import runs
+
+if typing.TYPE_CHECKING:
+    from _jasminewind.decisions.jobs import agents
+
+# A job that completes within this many times the time that its queue asks
+# for is late but of use; after that it is overdue.
+LATE_FACTOR = 3.0
+
+
+class Task:
+    """One task of a job; ``number`` is that of its last run."""
+
+    def __init__(self, job: "Job", step: int, index: int) -> None:
+        self.job = job
+        self.step = step
+        self.name = f"{job.spec.job}.0.{step}.{index}"
+        self.number = 0
+        self.failures = 0
+        self.avoid: set[str] = set()
+        self.checkpoint = ""
+        self.is_waiting = False
+        self.is_done = False
+        self.run: Run | None = None
+
+    @property
+    def shape(self) -> specs.Step:
+        """Return the step that the task belongs to."""
+        return self.job.spec.steps[self.step]
+
+
+@dataclasses.dataclass
+class Run:
+    """A start of a task that has not ended, as far as is known."""
+
+    key: runs.RunKey
+    task: Task
+    agent: "agents.Agent"
+    sent_s: float
+
+
+class Job:
+    """A job that was accepted and not yet answered.
+
+    ``due_s`` is when it should have completed, ``late_s`` when completing
+    it is of no more use, and ``patience_end_s`` when its caller gives up.
+    """
+
+    def __init__(self, spec: specs.JobSpec, now_s: float) -> None:
+        self.spec = spec
+        self.arrived_s = now_s
+        goal_s = spec.queue.stretch * spec.chain_s() + spec.queue.allowance_s
+        self.due_s = now_s + goal_s
+        self.late_s = now_s + LATE_FACTOR * goal_s
+        self.patience_end_s = float("inf")
+        if spec.patience_s:
+            self.patience_end_s = now_s + spec.patience_s
+        self.left = [step.count for step in spec.steps]
+        self.opened = [False] * len(spec.steps)
+        self.tasks: list[Task] = []
+        self.has_started = False
+        self.is_ended = False
+        self.answer: specs.JobAnswer | None = None
+
+    def open_steps(self) -> list[Task]:
+        """Return the tasks of the steps whose turn has come."""
+        ready = []
+        for number, step in enumerate(self.spec.steps):
+            if self.opened[number]:
+                continue
+            if any(self.left[earlier] for earlier in step.after):
+                continue
+            self.opened[number] = True
+            ready += [Task(self, number, i) for i in range(step.count)]
+        self.tasks += ready
+        return ready
+
+    def take_done(self, task: Task) -> bool:
+        """Note a task that is done; tell whether its step is."""
+        task.is_done = True
+        self.left[task.step] -= 1
+        return not self.left[task.step]
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether every task is done."""
+        return not any(self.left)
+
+    def remaining_s(self, step: int) -> float:
+        """Return the estimated time from a step to the end of the job."""
+        after = [
+            self.remaining_s(later)
+            for later, shape in enumerate(self.spec.steps)
+            if step in shape.after
+        ]
+        own_s = self.spec.steps[step].estimate_s
+        return own_s + max(after, default=0.0)
--- /dev/null
+++ b/src/_jasminewind/job_settings.py
@@ -0,0 +1,148 @@
+"""Settings of the processes that run jobs, read from JSON."""
+
+import dataclasses
+import typing
+
+import result
+
+from _jasminewind import members
+from _jasminewind import settings
+
+Address = typing.Annotated[
+    str,
+    settings.meta("IPv4 address and TCP port", "IP:PORT"),
+]
+OptionalAddress = typing.Annotated[
+    str,
+    settings.meta("IPv4 address and TCP port", "IP:PORT, empty for none"),
+]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class JobSettings:
+    """Settings of an entry or an agent that runs jobs."""
+
+    role: typing.Annotated[
+        members.Role,
+        settings.meta("What this process does: `entry` or `agent`."),
+    ]
+    name: typing.Annotated[
+        settings.Name, settings.meta("Name of this process, unique.")
+    ]
+    region: typing.Annotated[
+        settings.Name, settings.meta("Region of this process.")
+    ]
+    failure_domain: typing.Annotated[
+        settings.Name, settings.meta("Failure domain of this process.")
+    ]
+    host: typing.Annotated[
+        settings.Host,
+        settings.meta("Address on which this process accepts links."),
+    ]
+    link_port: typing.Annotated[
+        settings.Port,
+        settings.meta("Port for links from other processes.", "TCP port"),
+    ]
+    store: typing.Annotated[
+        Address, settings.meta("The platform's store.", "IP:PORT")
+    ]
+    callers: typing.Annotated[
+        OptionalAddress,
+        settings.meta("Entry only: where callers connect.", "IP:PORT"),
+    ] = ""
+    readiness: typing.Annotated[
+        OptionalAddress,
+        settings.meta(
+            "Entry only: where the balancer asks for readiness.", "IP:PORT"
+        ),
+    ] = ""
+    control: typing.Annotated[
+        OptionalAddress,
+        settings.meta(
+            "Agent only: where the endpoint announces itself.", "IP:PORT"
+        ),
+    ] = ""
+    metrics_port: typing.Annotated[
+        settings.OptionalPort,
+        settings.meta(
+            "Port that serves metrics as text at `/metrics`; 0: none.",
+            "TCP port, 0 for none",
+        ),
+    ] = 0
+    placement: typing.Annotated[
+        str,
+        settings.meta(
+            "How an entry chooses an agent: `expected_end`, or a baseline: "
+            "`least_outstanding`, `round_robin`, `random`."
+        ),
+    ] = "expected_end"
+    shutdown_limit_s: typing.Annotated[
+        float,
+        settings.meta(
+            "Running work may take this long to end when the process is "
+            "told to leave; keep it below the time after which the "
+            "platform kills the process.",
+            "s",
+            ge=0.5,
+            le=3_600.0,
+        ),
+    ] = 5.5
+    log_level: typing.Annotated[
+        settings.LogLevel,
+        settings.meta("Lowest level of log lines that are written."),
+    ] = settings.LogLevel.INFO
+    log_lines_per_s: typing.Annotated[
+        int,
+        settings.meta(
+            "Log lines beyond this rate are dropped and counted.",
+            "1/s",
+            ge=1,
+            le=100_000,
+        ),
+    ] = 300
+
+
+Read = result.Result[JobSettings, settings.SettingsError]
+
+
+def parse(text: bytes) -> Read:
+    """Return the settings in JSON text, or all mistakes in it."""
+    return settings.parse_as(text, JobSettings, contradictions)
+
+
+def contradictions(
+    chosen: JobSettings,
+) -> typing.Iterator[settings.Mistake]:
+    """Yield what is wrong between fields that are each valid."""
+    is_entry = chosen.role is members.Role.ENTRY
+    needed = ("callers", "readiness") if is_entry else ("control",)
+    foreign = ("control",) if is_entry else ("callers", "readiness")
+    for name in needed:
+        if not getattr(chosen, name):
+            yield settings.Mistake(
+                path=name,
+                reason=f"is missing; role {chosen.role.value!r} needs it",
+            )
+    for name in foreign:
+        if getattr(chosen, name):
+            yield settings.Mistake(
+                path=name,
+                reason=f"role {chosen.role.value!r} does not use it; "
+                "remove it",
+            )
+    for name in ("store", "callers", "readiness", "control"):
+        text = getattr(chosen, name)
+        if text and address(text) is None:
+            yield settings.Mistake(
+                path=name, reason=f"is {text[:60]!r}, need IP:PORT"
+            )
+
+
+def address(text: str) -> members.Address | None:
+    """Return the address in ``IP:PORT``, or nothing."""
+    host, _, port = text.rpartition(":")
+    if not settings.is_address(host) or not port.isdecimal():
+        return None
+    if not 0 < int(port) < 65_536:
+        return None
+    return members.Address(host, int(port))
--- a/src/_jasminewind/logs.py
+++ b/src/_jasminewind/logs.py
@@ -1,8 +1,10 @@
 """Logs: JSON lines to stderr, and the decision log."""
 
 import collections
+import collections.abc
 import dataclasses
 import logging
+import os
 import sys
 import typing
 
@@ -39,7 +41,7 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(number),
-        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(stream or sys.stderr),
         cache_logger_on_first_use=False,
     )
     structlog.contextvars.clear_contextvars()
@@ -47,6 +49,61 @@
         structlog.contextvars.bind_contextvars(node=node)
 
 
+class BoundedStream:
+    """A stream of lines that never blocks and never exceeds a rate.
+
+    Lines beyond the rate, or that the reader does not take in time, are
+    dropped. The next line that is written is preceded by their number.
+    """
+
+    def __init__(
+        self,
+        *,
+        descriptor: int,
+        lines_per_s: int,
+        seconds: collections.abc.Callable[[], float],
+    ) -> None:
+        os.set_blocking(descriptor, False)
+        self.descriptor = descriptor
+        self.lines_per_s = lines_per_s
+        self.seconds = seconds
+        self.allowance = float(lines_per_s)
+        self.filled_s = seconds()
+        self.dropped = 0
+        self.rest = b""
+
+    def write(self, text: str) -> int:
+        """Write one line, or count it as dropped."""
+        now_s = self.seconds()
+        refill = (now_s - self.filled_s) * self.lines_per_s
+        self.allowance = min(self.allowance + refill, float(self.lines_per_s))
+        self.filled_s = now_s
+        if self.allowance < 1.0 or not self.flush_rest():
+            self.dropped += 1
+            return len(text)
+        self.allowance -= 1.0
+        if self.dropped:
+            text = f'{{"event": "lines dropped", "n": {self.dropped}}}\n{text}'
+            self.dropped = 0
+        self.rest = text.encode()
+        self.flush_rest()
+        return len(text)
+
+    def flush_rest(self) -> bool:
+        """Write what is left of the last line; tell if nothing is."""
+        if not self.rest:
+            return True
+        try:
+            written = os.write(self.descriptor, self.rest)
+        except BlockingIOError:
+            return False
+        self.rest = self.rest[written:]
+        return not self.rest
+
+    def flush(self) -> None:
+        """Do nothing: lines are written at once."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Entry:
     """A decision and the wall time at which it was made."""
--- a/src/_jasminewind/messages/registry.py
+++ b/src/_jasminewind/messages/registry.py
@@ -4,6 +4,7 @@
 from _jasminewind.messages import links
 from _jasminewind.messages import membership
 from _jasminewind.messages import ownership
+from _jasminewind.messages import runs
 from _jasminewind.messages import tasks
 from _jasminewind.messages import work
 
@@ -47,5 +48,14 @@
     configuration.ConfigAck,
     configuration.ConfigFetch,
     configuration.ConfigBeacon,
+    runs.AgentBeat,
+    runs.BeatEcho,
+    runs.LoadChanged,
+    runs.StartRuns,
+    runs.StopRuns,
+    runs.QueryRuns,
+    runs.RunsEnded,
+    runs.CancelJob,
+    runs.JobCancelled,
 )
 BY_NAME = {kind.__name__: kind for kind in MESSAGE_TYPES}
--- /dev/null
+++ b/src/_jasminewind/nodes/job_agent.py
@@ -0,0 +1,213 @@
+"""The agent that runs the tasks of jobs on the endpoint beside it."""
+
+import abc
+import collections.abc
+import dataclasses
+import typing
+
+from twisted.internet import defer
+
+from _jasminewind import members
+from _jasminewind import metrics
+from _jasminewind import timers
+from _jasminewind.decisions import core
+from _jasminewind.decisions.jobs import actions
+from _jasminewind.decisions.jobs import keeper
+from _jasminewind.decisions.jobs import registry
+from _jasminewind.messages import runs
+from _jasminewind.nodes import job_entry
+from _jasminewind.nodes import node
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Announcement:
+    """What an endpoint says of itself.
+
+    ``clock_ms`` is its own steady clock. ``sequence`` rises with each
+    announcement of one life, so that a late one can be told.
+    """
+
+    record: runs.EndpointRecord
+    address: members.Address
+    sequence: int
+    clock_ms: int
+    is_draining: bool
+
+
+class EndpointCalls(abc.ABC):
+    """Calls to one endpoint; each is sent once."""
+
+    @abc.abstractmethod
+    async def start(self, action: actions.CallStart) -> actions.CallReply:
+        """Start a run."""
+
+    @abc.abstractmethod
+    async def stop(self, action: actions.CallStop) -> actions.CallReply:
+        """Stop a run."""
+
+    @abc.abstractmethod
+    async def renew(self, action: actions.CallRenew) -> actions.RenewReply:
+        """Renew the lease and read the state."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close idle connections."""
+
+
+Connect = collections.abc.Callable[[members.Address], EndpointCalls]
+
+
+class JobAgent(node.LinkedNode):
+    """Runs what entries order, on one endpoint."""
+
+    def __init__(
+        self,
+        *,
+        reactor: typing.Any,
+        timer_service: timers.TimerService,
+        member: members.Member,
+        decision_log: node.DecisionLog,
+        log: typing.Any,
+        connect: Connect,
+        meter: metrics.Meter = metrics.NO_METER,
+    ) -> None:
+        super().__init__(
+            reactor=reactor,
+            timer_service=timer_service,
+            member=member,
+            decision_log=decision_log,
+            log=log,
+            meter=meter,
+            probing=job_entry.PROBING,
+        )
+        self.connect = connect
+        self.keeper = keeper.Keeper()
+        self.calls: EndpointCalls | None = None
+        self.address = members.NO_ADDRESS
+        self.latest: Announcement | None = None
+        self.handlers[actions.CallStart] = self.start
+        self.handlers[actions.CallStop] = self.stop_run
+        self.handlers[actions.CallRenew] = self.renew
+        self.add(self.keeper)
+
+    def set_members(self, rows: dict[str, bytes]) -> None:
+        """Take the rows of the processes of the system."""
+        self.keeper.set_entries(registry.entries(rows, self.member.address))
+
+    # What the endpoint says
+
+    def endpoint_announced(self, announcement: Announcement) -> None:
+        """Take an announcement, unless it arrives late."""
+        if self.is_late(announcement):
+            return
+        self.latest = announcement
+        if self.calls is None or announcement.address != self.address:
+            if self.calls is not None:
+                self.calls.close()
+            self.address = announcement.address
+            self.calls = self.connect(announcement.address)
+        self.perform(
+            self.keeper,
+            self.keeper.on_endpoint(
+                announcement.record,
+                clock_ms=announcement.clock_ms,
+                is_draining=announcement.is_draining,
+                now=self.timers.now(),
+            ),
+        )
+
+    def is_late(self, announcement: Announcement) -> bool:
+        """Tell whether a newer announcement has arrived before."""
+        latest = self.latest
+        if latest is None:
+            return False
+        record = announcement.record
+        if record.born_ms != latest.record.born_ms:
+            return record.born_ms < latest.record.born_ms
+        if record.name != latest.record.name:
+            return False
+        return announcement.sequence <= latest.sequence
+
+    def endpoint_left(self, name: str) -> None:
+        """Take the endpoint's word that it ends now."""
+        now = self.timers.now()
+        self.perform(self.keeper, self.keeper.on_left(name, now))
+
+    # Shutdown
+
+    def begin_shutdown(self) -> None:
+        """Take no new runs, and let those that run end."""
+        now = self.timers.now()
+        self.perform(self.keeper, self.keeper.leave(now))
+
+    def is_idle(self) -> bool:
+        """Tell whether nothing would be cut short."""
+        return self.keeper.is_idle()
+
+    def stop(self) -> None:
+        """Close every link."""
+        self.stop_ticks()
+        self.links.stop()
+
+    # Actions
+
+    def start(
+        self, decision: core.Decision, action: actions.CallStart
+    ) -> None:
+        """Start a run on the endpoint."""
+        del decision
+        if self.calls is None:
+            return
+
+        def answered(reply: actions.CallReply) -> None:
+            now = self.timers.now()
+            key = action.order.key
+            self.perform(
+                self.keeper, self.keeper.on_start_reply(key, reply, now)
+            )
+
+        self.finish(self.calls.start(action), answered)
+
+    def stop_run(
+        self, decision: core.Decision, action: actions.CallStop
+    ) -> None:
+        """Stop a run on the endpoint."""
+        del decision
+        if self.calls is None:
+            return
+
+        def answered(reply: actions.CallReply) -> None:
+            now = self.timers.now()
+            self.perform(
+                self.keeper,
+                self.keeper.on_stop_reply(action.key, reply, now),
+            )
+
+        self.finish(self.calls.stop(action), answered)
+
+    def renew(
+        self, decision: core.Decision, action: actions.CallRenew
+    ) -> None:
+        """Renew the lease of the endpoint's runs."""
+        del decision
+        if self.calls is None:
+            return
+
+        def answered(reply: actions.RenewReply) -> None:
+            now = self.timers.now()
+            self.perform(
+                self.keeper,
+                self.keeper.on_renewed(action.endpoint, reply, now),
+            )
+
+        self.finish(self.calls.renew(action), answered)
+
+    def finish(
+        self,
+        calling: collections.abc.Coroutine[typing.Any, typing.Any, typing.Any],
+        answered: collections.abc.Callable[[typing.Any], None],
+    ) -> None:
+        """Pass on the reply of a call."""
+        deferred = defer.ensureDeferred(calling)
+        deferred.addCallback(answered)
+        deferred.addErrback(self.report_failure)
--- /dev/null
+++ b/src/_jasminewind/nodes/job_entry.py
@@ -0,0 +1,181 @@
+"""The entry that owns jobs for callers."""
+
+import abc
+import random
+import typing
+
+from twisted.internet import defer
+
+from _jasminewind import members
+from _jasminewind import metrics
+from _jasminewind import timers
+from _jasminewind.decisions import core
+from _jasminewind.decisions.jobs import actions
+from _jasminewind.decisions.jobs import cancellation
+from _jasminewind.decisions.jobs import owner
+from _jasminewind.decisions.jobs import registry
+from _jasminewind.decisions.jobs import specs
+from _jasminewind.nodes import node
+from _jasminewind.wire import links
+
+# Beats pass every 0.2 s, so that a link is silent when none did for longer.
+PROBING = links.Probing(
+    connect_timeout_s=0.8,
+    greeting_timeout_s=0.8,
+    ping_after_s=0.5,
+    ping_timeout_s=0.4,
+    check_period_s=0.2,
+)
+# A leaving entry still takes jobs for this long, because the balancer
+# notices after two missed checks, one second apart.
+TAKE_WHILE_LEAVING_S = 2.5
+
+
+class Callers(abc.ABC):
+    """Those who wait for jobs."""
+
+    @abc.abstractmethod
+    def answer(self, job: str, answer: specs.JobAnswer) -> None:
+        """Answer every caller that waits for a job."""
+
+
+class JobEntry(node.LinkedNode):
+    """Owns the jobs that its callers submit.
+
+    ``callers`` is set before the first job arrives.
+    """
+
+    callers: Callers
+
+    def __init__(
+        self,
+        *,
+        reactor: typing.Any,
+        timer_service: timers.TimerService,
+        member: members.Member,
+        decision_log: node.DecisionLog,
+        log: typing.Any,
+        rng: random.Random,
+        placement: str,
+        meter: metrics.Meter = metrics.NO_METER,
+    ) -> None:
+        super().__init__(
+            reactor=reactor,
+            timer_service=timer_service,
+            member=member,
+            decision_log=decision_log,
+            log=log,
+            meter=meter,
+            probing=PROBING,
+        )
+        self.config = specs.NO_CONFIGURATION
+        self.owner = owner.JobOwner.from_policy(placement, rng=rng)
+        self.cancellation = cancellation.Cancellation(jobs=self.owner)
+        self.cancelling: dict[int, defer.Deferred[bool]] = {}
+        self.leaving_since_s = 0.0
+        self.handlers[actions.AnswerJob] = self.answer
+        self.handlers[actions.CancelReply] = self.cancelled
+        self.add(self.owner)
+        self.add(self.cancellation)
+
+    def set_members(self, rows: dict[str, bytes]) -> None:
+        """Take the rows of the processes of the system."""
+        self.cancellation.entries = registry.entries(rows, self.member.address)
+
+    def set_configuration(self, config: specs.JobConfiguration) -> None:
+        """Put a newer configuration in force."""
+        if config.version <= self.config.version:
+            return
+        self.log.info(
+            "configuration",
+            version=config.version,
+            earlier=self.config.version,
+            queues=len(config.queues),
+        )
+        self.config = config
+
+    # What callers ask
+
+    def configuration(self) -> specs.JobConfiguration:
+        """Return the configuration in force."""
+        return self.config
+
+    def submit(self, spec: specs.JobSpec) -> None:
+        """Take a job; :class:`Callers` is told its answer."""
+        now = self.timers.now()
+        self.perform(self.owner, self.owner.submit(spec, now))
+
+    def caller_left(self, job: str) -> None:
+        """Stop a job for which no caller waits any more."""
+        now = self.timers.now()
+        reason = "its caller closed the connection"
+        self.perform(self.owner, self.owner.cancel(job, reason, now))
+
+    def cancel(self, job: str) -> defer.Deferred[bool]:
+        """Cancel a job; tell whether any entry had it."""
+        now = self.timers.now()
+        waiting: defer.Deferred[bool] = defer.Deferred()
+        ticket, asked = self.cancellation.cancel(job, now)
+        self.cancelling[ticket] = waiting
+        self.perform(self.cancellation, asked)
+        return waiting
+
+    def state(self, job: str) -> specs.JobState | None:
+        """Return the state of a job that is not answered yet."""
+        return self.owner.state(job)
+
+    def waiting(self, queue: str) -> int:
+        """Return how many jobs of a queue have not begun."""
+        return self.owner.waiting(queue)
+
+    def closed_reason(self) -> str:
+        """Return why no new job is taken, empty when jobs are taken."""
+        if not self.leaving_since_s:
+            return ""
+        passed_s = self.timers.clock.seconds() - self.leaving_since_s
+        if passed_s < TAKE_WHILE_LEAVING_S:
+            return ""
+        return "this entry is shutting down"
+
+    def unready_reason(self) -> str:
+        """Return why no new connection should come, empty when ready."""
+        if self.leaving_since_s:
+            return "this entry is shutting down"
+        if not self.config.version:
+            return "there is no configuration yet"
+        if not self.owner.has_agents(self.timers.now()):
+            return "no agent is in reach"
+        return ""
+
+    # Shutdown
+
+    def begin_shutdown(self) -> None:
+        """Finish the jobs that are here."""
+        self.leaving_since_s = self.timers.clock.seconds()
+
+    def is_idle(self) -> bool:
+        """Tell whether nothing would be cut short."""
+        return bool(self.closed_reason()) and self.owner.is_idle()
+
+    def stop(self) -> None:
+        """Close every link."""
+        self.stop_ticks()
+        self.links.stop()
+
+    # Actions
+
+    def answer(
+        self, decision: core.Decision, action: actions.AnswerJob
+    ) -> None:
+        """Answer the callers of a job."""
+        del decision
+        self.callers.answer(action.job, action.answer)
+
+    def cancelled(
+        self, decision: core.Decision, action: actions.CancelReply
+    ) -> None:
+        """Tell who cancelled whether the job was there."""
+        del decision
+        waiting = self.cancelling.pop(action.ticket, None)
+        if waiting is not None:
+            waiting.callback(action.known)
--- a/src/_jasminewind/nodes/node.py
+++ b/src/_jasminewind/nodes/node.py
@@ -40,8 +40,8 @@
         ...
 
 
-class Node(links.LinkOwner):
-    """Drives decisions with messages, time and replies.
+class LinkedNode(links.LinkOwner):
+    """Drives decisions with messages and time.
 
     A subclass adds its decisions with :meth:`add` and handlers of actions
     that only it can carry out to ``handlers``.
@@ -53,17 +53,16 @@
         reactor: typing.Any,
         timer_service: timers.TimerService,
         member: members.Member,
-        table: client.Table,
         decision_log: DecisionLog,
         log: typing.Any,
         meter: metrics.Meter = metrics.NO_METER,
+        probing: links.Probing = links.Probing(),
     ) -> None:
         self.reactor = reactor
         self.meter = meter
         self.measured_bytes = 0
         self.timers = timer_service
         self.member = member
-        self.table = table
         self.decision_log = decision_log
         self.log = log
         self.decisions: list[core.Decision] = []
@@ -79,13 +78,11 @@
                 role=member.role,
             ),
             owner=self,
+            probing=probing,
         )
         self.handlers: dict[type, Handler] = {
             core.Send: self._send,
             core.Probe: self._probe,
-            core.ReadTable: self._read_table,
-            core.WriteTable: self._write_table,
-            core.Apply: self._apply,
             core.LogDecision: self._log,
         }
         self.ticks.append(timer_service.every(MEASURE_PERIOD_S, self.measure))
@@ -146,12 +143,6 @@
             subscription.cancel()
         self.ticks.clear()
 
-    def apply_config(self, config: configuration.Configuration) -> None:
-        """Tell every decision of a configuration that is in force."""
-        now = self.timers.now()
-        for decision in self.decisions:
-            self.perform(decision, decision.on_config(config, now))
-
     def _send(self, decision: core.Decision, action: core.Send) -> None:
         del decision
         if action.to == self.member.node:
@@ -174,6 +165,35 @@
 
         self.links.probe(action.to, action.address).addCallback(answered)
 
+    def report_failure(self, failure: typing.Any) -> None:
+        """Log an unexpected exception with its traceback."""
+        self.log.error(
+            "unexpected exception; please report it",
+            error=repr(failure.value),
+            traceback=failure.getTraceback(),
+        )
+
+    def _log(self, decision: core.Decision, action: core.LogDecision) -> None:
+        del decision
+        self.decision_log.decision(action)
+
+
+class Node(LinkedNode):
+    """A process that also uses the table and has a configuration."""
+
+    def __init__(self, *, table: client.Table, **options: typing.Any) -> None:
+        super().__init__(**options)
+        self.table = table
+        self.handlers[core.ReadTable] = self._read_table
+        self.handlers[core.WriteTable] = self._write_table
+        self.handlers[core.Apply] = self._apply
+
+    def apply_config(self, config: configuration.Configuration) -> None:
+        """Tell every decision of a configuration that is in force."""
+        now = self.timers.now()
+        for decision in self.decisions:
+            self.perform(decision, decision.on_config(config, now))
+
     def _read_table(
         self, decision: core.Decision, action: core.ReadTable
     ) -> None:
@@ -215,18 +235,6 @@
         calling.addCallback(answered)
         calling.addErrback(self.report_failure)
 
-    def report_failure(self, failure: typing.Any) -> None:
-        """Log an unexpected exception with its traceback."""
-        self.log.error(
-            "unexpected exception; please report it",
-            error=repr(failure.value),
-            traceback=failure.getTraceback(),
-        )
-
     def _apply(self, decision: core.Decision, action: core.Apply) -> None:
         del decision
         self.apply_config(action.config)
-
-    def _log(self, decision: core.Decision, action: core.LogDecision) -> None:
-        del decision
-        self.decision_log.decision(action)
--- /dev/null
+++ b/src/_jasminewind/platform/bodies.py
@@ -0,0 +1,384 @@
+"""Bodies of the users' platform, and their translation into our types.
+
+The platform's field names stand only here and in the modules of this
+folder. A comment says what a field holds where its name misleads.
+"""
+
+import typing
+
+import msgspec
+import result
+
+from _jasminewind import errors
+from _jasminewind import resources
+from _jasminewind.decisions.jobs import actions
+from _jasminewind.decisions.jobs import specs
+from _jasminewind.messages import runs
+
+JSON_TYPE = "application/json"
+INSTANCE_HEADER = "X-Expected-Instance"
+DEADLINE_HEADER = "X-Deadline-Milliseconds"
+
+MACHINE_START_PATH = "/-/run-start"
+MACHINE_STOP_PATH = "/-/run-stop"
+MACHINE_RENEW_PATH = "/-/hold"
+READY_PATH = "/-/readiness"
+BEAT_PREFIX = "/-/Instances.Heartbeat/"
+LEAVE_PREFIX = "/-/Instances.Leave/"
+
+CONFIGURATION_TABLE = "op"
+CONFIGURATION_KEY = "config"
+
+T = typing.TypeVar("T")
+
+
+class Body(msgspec.Struct, rename="kebab", kw_only=True):
+    """Base of all bodies: field names with dashes, unknown ones ignored."""
+
+
+class OutgoingBody(Body, omit_defaults=True):
+    """Base of bodies whose default values are left out."""
+
+
+def decode(data: bytes, kind: type[T]) -> result.Result[T, errors.WireError]:
+    """Return a body, or why it cannot be read."""
+    try:
+        return result.Ok(msgspec.json.decode(data, type=kind))
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as e:
+        return result.Err(errors.WireError(reason=f"malformed body: {e}"))
+
+
+# Jobs
+
+
+class StepBody(Body):
+    """One step of a job; absent fields have no effect."""
+
+    count: int
+    cpu_millicores: int = 0
+    memory_request_mb: float = 0
+    gpus: int = 0
+    estimated_ms: float = 0
+    after: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    rack_sensitive: bool = False
+    # A label that the endpoint must have, not a list of demands.
+    requirements: str = ""
+    data_rack: str = ""
+    max_per_server: int = 0
+    allow_duplicates: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int = 0
+
+    def unsupported(self) -> str:
+        """Return the feature that no agent can run yet, if there is one."""
+        for name in ("gang", "long_running", "fills"):
+            if getattr(self, name):
+                return name.replace("_", "-")
+        return ""
+
+    def step(self) -> specs.Step:
+        """Return the step in the product's terms."""
+        return specs.Step(
+            count=self.count,
+            need=need(self),
+            estimate_s=self.estimated_ms / 1000,
+            after=self.after,
+            label=self.requirements,
+            data_rack=self.data_rack,
+            one_rack=self.rack_sensitive,
+            per_endpoint=self.max_per_server,
+            checkpoints=self.checkpointing,
+        )
+
+
+class JobBody(Body):
+    """A submission."""
+
+    specification: str
+    steps: tuple[StepBody, ...]
+    best_effort: bool = False
+    first_run_ms: int = 0
+    interval_ms: int = 0
+    repetitions: int = 0
+
+    def unsupported(self) -> str:
+        """Return the feature that this version does not have, if any."""
+        if not self.best_effort:
+            return "a job that must be stored"
+        if self.repetitions:
+            return "repetitions"
+        return next((s.unsupported() for s in self.steps), "")
+
+    def mistake(self) -> str:
+        """Return what contradicts itself in the job, empty if nothing."""
+        if not self.steps:
+            return "a job needs at least one step"
+        if sum(step.count for step in self.steps) > specs.MAX_TASKS:
+            return f"a job has at most {specs.MAX_TASKS} tasks"
+        for number, step in enumerate(self.steps):
+            if step.count < 1:
+                return f"step {number} needs a count of 1 or more"
+            if any(not 0 <= earlier < number for earlier in step.after):
+                return f"step {number} may only come after earlier steps"
+        return ""
+
+
+class Amounts(Body):
+    """Amounts of processor, memory and accelerators."""
+
+    cpu_millicores: float = 0
+    memory_request_mb: float = 0
+    gpus: float = 0
+
+
+def need(body: StepBody | Amounts) -> resources.Resources:
+    """Return amounts in the product's terms."""
+    return resources.Resources(
+        cores=body.cpu_millicores / 1000,
+        memory_mb=float(body.memory_request_mb),
+        accelerators=float(body.gpus),
+    )
+
+
+# Configuration
+
+
+class RouteBody(Body):
+    """A queue of the configuration; called a route on the wire."""
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    timeout_ms: float = 0
+    # Added to the stretched length of the job, not the whole target.
+    target_completion_ms: float = 0
+    priority: int = 0
+    attempt_limit: int = 1
+    stretch: float = 1.0
+
+    def queue(self) -> specs.Queue:
+        """Return the queue in the product's terms."""
+        return specs.Queue(
+            name=self.name,
+            host=self.host,
+            prefix=self.prefix,
+            service=self.service,
+            stretch=self.stretch,
+            allowance_s=self.target_completion_ms / 1000,
+            priority=self.priority,
+            attempt_limit=max(self.attempt_limit, 1),
+            timeout_s=self.timeout_ms / 1000,
+        )
+
+
+class LimitsBody(Body):
+    """Limits on callers' requests."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 262_144
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+class ConfigBody(Body):
+    """The configuration as the operator writes it."""
+
+    version: int
+    routes: tuple[RouteBody, ...]
+    limits: LimitsBody = msgspec.field(default_factory=LimitsBody)
+
+    def configuration(self) -> specs.JobConfiguration:
+        """Return the configuration in the product's terms."""
+        return specs.JobConfiguration(
+            version=self.version,
+            queues=tuple(route.queue() for route in self.routes),
+            limits=specs.JobLimits(
+                header_bytes=self.limits.header_bytes,
+                body_bytes=self.limits.body_bytes,
+                header_timeout_s=self.limits.header_timeout_ms / 1000,
+                idle_timeout_s=self.limits.idle_timeout_ms / 1000,
+            ),
+        )
+
+
+# Endpoints
+
+
+class BeatBody(Body):
+    """What an endpoint says of itself."""
+
+    service: str
+    address: str
+    zone: str
+    state: typing.Literal["ready", "draining"]
+    capacity: Amounts
+    sequence: int
+    clock_ms: int
+    labels: tuple[str, ...] = ()
+    # Unix time of its start; absent where a name is never used twice.
+    born: int = 0
+
+    def record(self, name: str) -> runs.EndpointRecord:
+        """Return the record of the endpoint called ``name``."""
+        return runs.EndpointRecord(
+            name=name,
+            born_ms=self.born,
+            service=self.service,
+            failure_domain=self.zone,
+            capacity=need(self.capacity),
+            labels=self.labels,
+        )
+
+
+class StartBody(OutgoingBody):
+    """Order to start a run."""
+
+    task: str
+    run: int
+    specification: str
+    # The end of the lease on the endpoint's clock, which is also the last
+    # moment at which the order may be carried out.
+    deadline_ms: int
+    fencing_token: int
+    checkpoint: str = ""
+
+
+class StopBody(Body):
+    """Order to stop a run."""
+
+    task: str
+    run: int
+    fencing_token: int
+
+
+class RenewBody(OutgoingBody):
+    """Renewal of the lease of everything that runs."""
+
+    fencing_token: int
+    last_seen: int | None = None
+    deadline_ms: int = 0
+    wait_ms: int = 0
+
+
+class AnswerBody(Body):
+    """Answer of an endpoint to a start or a stop."""
+
+    clock_ms: int = 0
+    reason: str = ""
+
+
+class StateBody(Body):
+    """Answer of an endpoint to a renewal; rows are decoded by position."""
+
+    clock_ms: int
+    running: tuple[tuple[typing.Any, ...], ...] = ()
+    ended: tuple[tuple[typing.Any, ...], ...] = ()
+    born: int = 0
+
+
+# The endpoint returns at most this many ends in one answer.
+MAX_LISTED_ENDS = 500
+OUTCOMES = {
+    "done": runs.RunOutcome.DONE,
+    "failed": runs.RunOutcome.FAILED,
+    "stopped": runs.RunOutcome.STOPPED,
+    "lapsed": runs.RunOutcome.LAPSED,
+    # Ends of a gang that the task did not cause.
+    "broken": runs.RunOutcome.LAPSED,
+    "alone": runs.RunOutcome.LAPSED,
+}
+REFUSALS = {
+    "fence": actions.CallOutcome.FENCED,
+    "old": actions.CallOutcome.OUTDATED,
+    "late": actions.CallOutcome.LATE,
+    "room": actions.CallOutcome.NO_ROOM,
+}
+
+
+def running_run(row: tuple[typing.Any, ...]) -> actions.RunningRun:
+    """Return a row of running work: task, run, checkpoint, percent."""
+    task, number, checkpoint, percent = row[:4]
+    return actions.RunningRun(
+        key=runs.RunKey(str(task), int(number)),
+        checkpoint=str(checkpoint),
+        percent=int(percent),
+    )
+
+
+def listed_end(row: tuple[typing.Any, ...]) -> actions.ListedEnd:
+    """Return a row of ended work: number, task, run, how, checkpoint."""
+    number, task, run, how, checkpoint = row[:5]
+    return actions.ListedEnd(
+        number=int(number),
+        key=runs.RunKey(str(task), int(run)),
+        outcome=OUTCOMES.get(str(how), runs.RunOutcome.LAPSED),
+        checkpoint=str(checkpoint),
+    )
+
+
+# The store
+
+
+class RowBody(Body):
+    """A row; ``value`` is base64."""
+
+    table: str = ""
+    part: str = ""
+    key: str = ""
+    value: str = ""
+    version_number: int = 0
+    # Set in a feed when the row was removed.
+    deleted: bool = False
+
+
+class RowsBody(Body):
+    """Rows, and the newest version of the whole store."""
+
+    rows: tuple[RowBody, ...] = ()
+    has_more: bool = False
+    version_number: int = 0
+
+
+class PutBody(Body):
+    """A row to write; ``value`` is base64."""
+
+    table: str
+    key: str
+    value: str
+    part: str = ""
+
+
+class WriteBody(Body):
+    """A transaction without conditions."""
+
+    puts: tuple[PutBody, ...]
+
+
+class WrittenBody(Body):
+    """Answer to a transaction that took effect."""
+
+    version_number: int = 0
+
+
+class StateAnswer(OutgoingBody):
+    """Answer to a caller about a job."""
+
+    state: str
+
+
+class WaitingAnswer(Body):
+    """Answer to a caller about a queue."""
+
+    waiting: int
+
+
+class ErrorAnswer(Body):
+    """Answer to a caller whose request was not carried out."""
+
+    error: str
--- a/src/_jasminewind/platform/http.py
+++ b/src/_jasminewind/platform/http.py
@@ -62,6 +62,14 @@
 Reply = typing.TypeVar("Reply")
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Answer:
+    """The status and body of an answer, whatever they say."""
+
+    status: int
+    body: bytes
+
+
 @interface.implementer(iweb.IBodyProducer)
 class Body:
     """A request body that is written in one piece."""
@@ -212,8 +220,27 @@
         timeout_s: float,
     ) -> defer.Deferred[result.Result[Reply, CallError]]:
         """Make one call and translate its answer."""
+
+        def translated(
+            answer: result.Result[Answer, CallError],
+        ) -> result.Result[Reply, CallError]:
+            return answer.and_then(lambda a: decoded(a.status, a.body, kind))
+
+        exchange = self.send(method, path, data, timeout_s=timeout_s)
+        return exchange.addCallback(translated)
+
+    def send(
+        self,
+        method: bytes,
+        path: str,
+        data: bytes = b"",
+        *,
+        timeout_s: float,
+        headers: http_headers.Headers | None = None,
+    ) -> defer.Deferred[result.Result[Answer, CallError]]:
+        """Make one call; return its answer whatever the status."""
         exchange = defer.ensureDeferred(
-            self.exchange(method, path, data, kind)
+            self.exchange(method, path, data, headers or self.headers)
         )
         # A timed out call also aborts its connection, so that the next
         # call does not use a silent one.
@@ -222,17 +249,21 @@
         return exchange
 
     async def exchange(
-        self, method: bytes, path: str, data: bytes, kind: type[Reply]
-    ) -> result.Result[Reply, CallError]:
+        self,
+        method: bytes,
+        path: str,
+        data: bytes,
+        headers: http_headers.Headers,
+    ) -> result.Result[Answer, CallError]:
         """Send one request and read its answer."""
         response = await self.agent.request(
             method,
             (self.base + path).encode(),
-            self.headers,
+            headers,
             Body(data) if data else None,
         )
         body = await read_body(response)
-        return decoded(response.code, body, kind)
+        return result.Ok(Answer(status=response.code, body=body))
 
     def lost(
         self, reason: failure.Failure
--- a/src/_jasminewind/settings.py
+++ b/src/_jasminewind/settings.py
@@ -272,20 +272,38 @@
 
 def parse(text: bytes) -> Read:
     """Return the settings in JSON text, or all mistakes in it."""
+    return parse_as(text, Settings, contradictions)
+
+
+Kind = typing.TypeVar("Kind")
+
+
+def parse_as(
+    text: bytes,
+    kind: type[Kind],
+    contradictions: collections.abc.Callable[
+        [Kind], collections.abc.Iterable[Mistake]
+    ],
+) -> result.Result[Kind, SettingsError]:
+    """Return settings of a data class, or all mistakes in the text.
+
+    ``contradictions`` yields what is wrong between fields that are each
+    valid.
+    """
     try:
         found = msgspec.json.decode(text)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as e:
         mistake = Mistake(path="file", reason=f"not valid JSON: {e}")
         return result.Err(SettingsError(mistakes=(mistake,)))
-    mistakes = list(check_object("", found, Settings))
+    mistakes = list(check_object("", found, kind))
     try:
-        settings = msgspec.convert(found, Settings)
+        chosen = msgspec.convert(found, kind)
     except msgspec.ValidationError:
         return result.Err(SettingsError(mistakes=tuple(mistakes)))
-    mistakes.extend(contradictions(settings))
+    mistakes.extend(contradictions(chosen))
     if mistakes:
         return result.Err(SettingsError(mistakes=tuple(mistakes)))
-    return result.Ok(settings)
+    return result.Ok(chosen)
 
 
 def check_object(
--- a/src/_jasminewind/wire/links.py
+++ b/src/_jasminewind/wire/links.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections
+import dataclasses
 import typing
 
 from twisted.internet import endpoints
@@ -15,14 +16,24 @@
 from _jasminewind.wire import connections
 from _jasminewind.wire import probes
 
-CONNECT_TIMEOUT_S = 2.0
-GREETING_TIMEOUT_S = 2.0
-PING_AFTER_S = 2.0
-PING_TIMEOUT_S = 2.0
-CHECK_PERIOD_S = 0.5
 MAX_WAITING_MESSAGES = 10_000
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Probing:
+    """Time limits of links, in seconds.
+
+    A link that is silent for ``ping_after_s`` is probed, and replaced when
+    the probe is not answered within ``ping_timeout_s``.
+    """
+
+    connect_timeout_s: float = 2.0
+    greeting_timeout_s: float = 2.0
+    ping_after_s: float = 2.0
+    ping_timeout_s: float = 2.0
+    check_period_s: float = 0.5
+
+
 class LinkOwner(abc.ABC):
     """The node that the links serve."""
 
@@ -75,11 +86,13 @@
         timer_service: timers.TimerService,
         hello: link_messages.Hello,
         owner: LinkOwner,
+        probing: Probing = Probing(),
     ) -> None:
         self.reactor = reactor
         self.timers = timer_service
         self.hello = hello
         self.owner = owner
+        self.probing = probing
         self.ready: dict[members.NodeId, list[connections.Connection]] = {}
         self.ready_at: dict[members.Address, list[connections.Connection]] = {}
         self.waiting: dict[Key, Waiting] = {}
@@ -89,7 +102,7 @@
         self.closed_bytes_out = 0
         self.sent: collections.Counter[str] = collections.Counter()
         self.is_stopping = False
-        self.checks = timer_service.every(CHECK_PERIOD_S, self._check)
+        self.checks = timer_service.every(probing.check_period_s, self._check)
 
     def listen(self) -> typing.Any:
         """Accept links at the address of the ``Hello``."""
@@ -269,13 +282,13 @@
             self.reactor,
             address.host,
             address.port,
-            timeout=CONNECT_TIMEOUT_S,
+            timeout=self.probing.connect_timeout_s,
             bindAddress=(self.hello.address.host, 0),
         )
         connecting = endpoints.connectProtocol(endpoint, connection)
         connecting.addErrback(self._refused, to, key, waiting, connection)
         self.timers.after(
-            CONNECT_TIMEOUT_S + GREETING_TIMEOUT_S,
+            self.probing.connect_timeout_s + self.probing.greeting_timeout_s,
             lambda now: self._give_up(to, key, waiting, connection),
         )
 
@@ -319,10 +332,11 @@
             return
         silent_s = now_s - connection.last_received_s
         if not connection.is_ready:
-            if silent_s > GREETING_TIMEOUT_S:
+            if silent_s > self.probing.greeting_timeout_s:
                 connection.close("no Hello in time")
         elif connection.ping_sent_s is not None:
-            if now_s - connection.ping_sent_s > PING_TIMEOUT_S:
+            waited_s = now_s - connection.ping_sent_s
+            if waited_s > self.probing.ping_timeout_s:
                 connection.close("no answer to a ping; the link is silent")
-        elif silent_s > PING_AFTER_S:
+        elif silent_s > self.probing.ping_after_s:
             connection.ping(now_s)
--- /dev/null
+++ b/src/jasminewindd.py
@@ -0,0 +1,6 @@
+"""Starts a process of the system on the users' platform."""
+
+from _jasminewind.platform import daemon
+
+if __name__ == "__main__":
+    daemon.main()
