Ask agents about runs whose order may not have arrived; test jobs under faults

Cause: a one-way loss of messages from an entry to an agent left runs without an end: beats still arrived, so that the agent never counted as lost. Found by test_a_cut_between_entry_and_agent_loses_no_job[to].

--- a/src/_jasminewind/decisions/jobs/agents.py
+++ b/src/_jasminewind/decisions/jobs/agents.py
@@ -10,6 +10,12 @@
 
 # An agent that is silent for longer gets no new work; two beats are 0.4 s.
 FRESH_S = 0.5
+# An agent reports starts at once; one that has not by then gets no more.
+DEAF_AFTER_S = 0.5
+# A run is asked about when it takes longer than this many times the
+# expected time and at least the period, then once a period.
+QUERY_FACTOR = 2.0
+QUERY_PERIOD_S = 1.0
 # Jobs in a row, each different, whose runs failed at one agent before it is
 # taken for faulty. One job that can never succeed fails everywhere.
 EJECT_AFTER_JOBS = 3
@@ -23,6 +29,7 @@
     """Starts that the last known load may not count yet."""
 
     number: int
+    sent_s: float
     need: resources.Resources
 
 
@@ -68,7 +75,9 @@
         """Count a run that is about to be ordered in the next batch."""
         self.runs[run.key] = run
         need = run.task.shape.need
-        self.batches.append(Batch(number=self.next_batch, need=need))
+        self.batches.append(
+            Batch(number=self.next_batch, sent_s=run.sent_s, need=need)
+        )
         self.unreported += need
 
     def free(self) -> resources.Resources:
@@ -81,10 +90,24 @@
             self.endpoint is not None
             and self.load.accepting
             and not self.must_query
+            and not self.is_deaf(now_s)
             and now_s - self.heard_s <= FRESH_S
             and now_s >= self.ejected_until_s
         )
 
+    def is_deaf(self, now_s: float) -> bool:
+        """Tell whether starts are not taken although beats arrive."""
+        return bool(self.batches) and (
+            now_s - self.batches[0].sent_s > DEAF_AFTER_S
+        )
+
+    def to_query(self, now_s: float) -> tuple[runs.RunKey, ...]:
+        """Return the runs to ask about now."""
+        due = [r for r in self.runs.values() if now_s >= r.query_at_s]
+        for run in due:
+            run.query_at_s = now_s + QUERY_PERIOD_S
+        return tuple(run.key for run in due)
+
     def is_lost(self, now_s: float) -> bool:
         """Tell whether every run here has certainly ended by now."""
         return now_s - self.heard_s > leases.AGENT_LOST_S
--- a/src/_jasminewind/decisions/jobs/owner.py
+++ b/src/_jasminewind/decisions/jobs/owner.py
@@ -249,7 +249,10 @@
         job = task.job
         task.number += 1
         key = runs.RunKey(task.name, task.number)
-        run = tracking.Run(key, task, agent, now.mono_s)
+        expected_s = placement.expected_run_s(task, agent)
+        wait_s = max(agents.QUERY_FACTOR * expected_s, agents.QUERY_PERIOD_S)
+        now_s = now.mono_s
+        run = tracking.Run(key, task, agent, now_s, now_s + wait_s)
         task.run = run
         job.has_started = True
         agent.add(run)
@@ -385,6 +388,11 @@
             if agent.is_lost(now.mono_s):
                 silent_s = now.mono_s - agent.heard_s
                 self.lose(agent, f"silent for {silent_s:.2f} s", now)
+                continue
+            keys = agent.to_query(now.mono_s)
+            if keys:
+                query = runs.QueryRuns(keys=keys)
+                self.actions.append(actions.send(agent.node, query))
         for job in list(self.jobs.values()):
             if now.mono_s >= job.patience_end_s:
                 self.answer(
--- a/src/_jasminewind/decisions/jobs/tracking.py
+++ b/src/_jasminewind/decisions/jobs/tracking.py
@@ -37,12 +37,16 @@
 
 @dataclasses.dataclass
 class Run:
-    """A start of a task that has not ended, as far as is known."""
+    """A start of a task that has not ended, as far as is known.
+
+    ``query_at_s`` is when its agent is asked what became of it.
+    """
 
     key: runs.RunKey
     task: Task
     agent: "agents.Agent"
     sent_s: float
+    query_at_s: float
 
 
 class Job:
--- /dev/null
+++ b/testing/decisions/jobs/endpoint.py
@@ -0,0 +1,184 @@
+"""A fake endpoint that runs tasks as the platform's pages describe."""
+
+import dataclasses
+
+from _jasminewind import resources
+from _jasminewind.decisions.jobs import actions
+from _jasminewind.messages import runs
+
+LEASE_MS = 1_000
+
+
+@dataclasses.dataclass
+class Running:
+    """A run at work; ``ends_s`` is infinite for one that stands still."""
+
+    key: runs.RunKey
+    need: resources.Resources
+    began_s: float
+    ends_s: float
+    outcome: runs.RunOutcome = runs.RunOutcome.DONE
+
+
+class FakeEndpoint:
+    """Starts whatever it is told to, whether it fits or not.
+
+    ``broken`` collects what must never happen: work beyond the capacity,
+    and a second run of a task that runs anywhere in ``peers``.
+    """
+
+    def __init__(self, name, *, cores=10.0, speed=1.0, born_s=0.0):
+        self.record = runs.EndpointRecord(
+            name=name,
+            born_ms=int(born_s * 1000) + 1,
+            service="orders",
+            failure_domain="a",
+            capacity=resources.Resources(cores=cores, memory_mb=10_000.0),
+            labels=("r1",),
+        )
+        self.speed = speed
+        self.born_s = born_s
+        self.fence = 0
+        self.lease_ms = 0
+        self.running = {}
+        self.ended = []
+        self.count = 0
+        self.highest = {}
+        self.is_down = False
+        self.is_faulty = False
+        self.stands_still = False
+        self.peers = [self]
+        self.broken = []
+        self.starts = []
+
+    def clock_ms(self, now_s):
+        """Return the endpoint's own clock."""
+        return int((now_s - self.born_s) * 1000) + 1_000
+
+    def advance(self, now_s):
+        """End what has run its time, and everything when the lease ends."""
+        for run in list(self.running.values()):
+            if run.ends_s <= now_s:
+                self.finish(run, run.outcome)
+        if self.running and self.clock_ms(now_s) > self.lease_ms:
+            for run in list(self.running.values()):
+                self.finish(run, runs.RunOutcome.LAPSED)
+
+    def finish(self, run, outcome):
+        """List the end of a run."""
+        del self.running[run.key]
+        self.count += 1
+        self.ended.append(
+            actions.ListedEnd(number=self.count, key=run.key, outcome=outcome)
+        )
+        highest = self.highest.get(run.key.task, 0)
+        self.highest[run.key.task] = max(highest, run.key.number)
+
+    def refuses(self, fence, now_s):
+        """Return the refusal of a call with this token, or nothing."""
+        self.advance(now_s)
+        if fence < self.fence:
+            return actions.CallReply(
+                outcome=actions.CallOutcome.FENCED,
+                clock_ms=self.clock_ms(now_s),
+            )
+        self.fence = fence
+        return None
+
+    def reply(self, outcome, now_s):
+        """Return a reply with this outcome."""
+        return actions.CallReply(
+            outcome=outcome, clock_ms=self.clock_ms(now_s)
+        )
+
+    def start(self, action, now_s, work_s):
+        """Start a run that takes ``work_s`` at speed 1."""
+        refusal = self.refuses(action.fence, now_s)
+        if refusal:
+            return refusal
+        key = action.order.key
+        if key in self.running:
+            return self.reply(actions.CallOutcome.DONE, now_s)
+        if action.deadline_ms <= self.clock_ms(now_s):
+            return self.reply(actions.CallOutcome.LATE, now_s)
+        self.extend(action.deadline_ms, now_s)
+        if key.number <= self.highest.get(key.task, 0):
+            return self.reply(actions.CallOutcome.OUTDATED, now_s)
+        self.check_twice(key, now_s)
+        ends_s = now_s + work_s / self.speed
+        outcome = runs.RunOutcome.DONE
+        if self.is_faulty:
+            ends_s = now_s + 0.01
+            outcome = runs.RunOutcome.FAILED
+        if self.stands_still:
+            ends_s = float("inf")
+        run = Running(key, action.order.need, now_s, ends_s, outcome)
+        self.running[key] = run
+        self.starts.append((now_s, key))
+        self.check_room(key)
+        return self.reply(actions.CallOutcome.DONE, now_s)
+
+    def check_twice(self, key, now_s):
+        """Note a second run of a task that still runs elsewhere."""
+        for peer in self.peers:
+            peer.advance(now_s)
+            for other in peer.running:
+                if other.task == key.task and not peer.is_down:
+                    self.broken.append(f"{key} starts beside {other}")
+
+    def check_room(self, key):
+        """Note work beyond the capacity."""
+        used = resources.NOTHING
+        for run in self.running.values():
+            used += run.need
+        if used.cores > self.record.capacity.cores + 1e-6:
+            self.broken.append(f"{key} brings the endpoint to {used.cores}")
+
+    def extend(self, deadline_ms, now_s):
+        """Extend the lease, by no more than its longest time."""
+        longest_ms = self.clock_ms(now_s) + LEASE_MS
+        self.lease_ms = max(self.lease_ms, min(deadline_ms, longest_ms))
+
+    def stop(self, action, now_s):
+        """Stop a run, also one that is not there yet."""
+        refusal = self.refuses(action.fence, now_s)
+        if refusal:
+            return refusal
+        run = self.running.get(action.key)
+        if run is not None:
+            self.finish(run, runs.RunOutcome.STOPPED)
+        highest = self.highest.get(action.key.task, 0)
+        self.highest[action.key.task] = max(highest, action.key.number)
+        return self.reply(actions.CallOutcome.DONE, now_s)
+
+    def renew(self, action, now_s, sent_s):
+        """Renew the lease, and list what runs and what has ended."""
+        refusal = self.refuses(action.fence, now_s)
+        if refusal:
+            return actions.RenewReply(
+                outcome=refusal.outcome,
+                sent_s=sent_s,
+                clock_ms=refusal.clock_ms,
+            )
+        self.ended = [e for e in self.ended if e.number > action.last_end]
+        if action.deadline_ms > self.clock_ms(now_s):
+            self.extend(action.deadline_ms, now_s)
+        return actions.RenewReply(
+            outcome=actions.CallOutcome.DONE,
+            sent_s=sent_s,
+            clock_ms=self.clock_ms(now_s),
+            running=tuple(
+                actions.RunningRun(
+                    key=run.key, percent=self.percent(run, now_s)
+                )
+                for run in self.running.values()
+            ),
+            ended=tuple(self.ended),
+        )
+
+    def percent(self, run, now_s):
+        """Return the share of a run's work that is done."""
+        if run.ends_s == float("inf"):
+            return 0
+        whole_s = run.ends_s - run.began_s
+        return int(100 * (now_s - run.began_s) / whole_s)
--- /dev/null
+++ b/testing/decisions/jobs/test_fleet.py
@@ -0,0 +1,154 @@
+"""Jobs from submission to answer, with faults of every process."""
+
+import dataclasses
+
+import pytest
+
+from testing.decisions.jobs import world as worlds
+
+
+def test_a_job_is_answered_once_when_all_its_tasks_are_done(world):
+    """Guards against partial and repeated answers."""
+    world.submit("entry-0", worlds.job(1, count=5))
+    world.run(2.0)
+    assert world.states() == {1: ["completed"]}
+    assert sum(len(e.starts) for e in world.endpoints.values()) == 5
+    assert not world.broken()
+
+
+def test_a_later_step_starts_after_all_tasks_of_the_earlier_ones(world):
+    """Guards against a start before its turn."""
+    first = worlds.job(1, count=3, work_s=0.2).steps[0]
+    second = dataclasses.replace(first, count=2, after=(0,))
+    spec = worlds.job(2, count=3, work_s=0.2, after=(second,))
+    world.submit("entry-0", spec)
+    world.run(2.0)
+    starts = [s for e in world.endpoints.values() for s in e.starts]
+    starts.sort(key=lambda start: start[0])
+    steps = [key.task.split(".")[2] for _, key in starts]
+    assert steps == ["0", "0", "0", "1", "1"]
+    assert starts[3][0] >= starts[2][0] + 0.2
+    assert world.states() == {2: ["completed"]}
+
+
+def test_work_beyond_the_capacity_waits(world):
+    """Guards against overloading endpoints that start whatever they get."""
+    for number in range(20):
+        entry = f"entry-{number % 2}"
+        world.submit(entry, worlds.job(number, count=3, work_s=0.1))
+    world.run(5.0)
+    assert not world.broken()
+    states = [state for found in world.states().values() for state in found]
+    assert len(states) == 20
+
+
+def test_a_job_of_a_dead_entry_can_be_submitted_to_another(world):
+    """Guards against two runs of one task after an entry died.
+
+    Its agents must stop the first runs before the caller returns, 1.3 s
+    later.
+    """
+    world.submit("entry-0", worlds.job(1, work_s=4.0))
+    world.run(0.5)
+    world.kill("entry-0")
+    world.run(1.3)
+    world.submit("entry-1", worlds.job(1, work_s=4.0))
+    world.run(6.0)
+    assert world.states() == {1: ["completed"]}
+    assert not world.broken()
+
+
+def test_a_job_whose_caller_was_cut_off_can_be_submitted_again(world):
+    """Guards against two runs of one task after a connection reset."""
+    world.submit("entry-0", worlds.job(1, work_s=4.0))
+    world.run(0.5)
+    world.cancel("entry-0", worlds.job(1).job)
+    world.run(0.2)
+    world.submit("entry-0", worlds.job(1, work_s=1.0))
+    world.run(4.0)
+    assert world.states() == {1: ["cancelled", "completed"]}
+    assert not world.broken()
+
+
+@pytest.mark.parametrize("for_s", [0.3, 0.9, 1.5, 3.0, 5.0])
+def test_a_paused_agent_loses_no_job_and_runs_nothing_twice(world, for_s):
+    """Guards against a second run while the first still goes on."""
+    for number in range(6):
+        world.submit("entry-0", worlds.job(number, work_s=2.0))
+    world.run(0.5)
+    world.pause("agent-1", for_s)
+    world.run(12.0)
+    assert not world.broken()
+    assert set(world.states()) == set(range(6))
+    assert all(s == ["completed"] for s in world.states().values())
+
+
+@pytest.mark.parametrize("for_s", [0.3, 0.9, 1.5, 3.0])
+def test_a_paused_entry_is_not_a_second_owner(world, for_s):
+    """Guards against an owner that resumes after its job went elsewhere."""
+    world.submit("entry-0", worlds.job(1, work_s=3.0))
+    world.run(0.5)
+    world.pause("entry-0", for_s)
+    world.run(1.4)
+    world.submit("entry-1", worlds.job(1, work_s=3.0))
+    world.run(0.0)
+    world.cancel("entry-0", worlds.job(1).job)
+    world.run(10.0)
+    assert not [b for b in world.broken() if for_s > 1.3]
+
+
+@pytest.mark.parametrize("one_way", ["to", "from", "both"])
+def test_a_cut_between_entry_and_agent_loses_no_job(world, one_way):
+    """Guards against runs that neither side gives up."""
+    if one_way in ("to", "both"):
+        world.cut.add(("entry-0", "agent-1"))
+    if one_way in ("from", "both"):
+        world.cut.add(("agent-1", "entry-0"))
+    world.cut, planned = set(), world.cut
+    for number in range(6):
+        world.submit("entry-0", worlds.job(number, work_s=2.0))
+    world.run(0.3)
+    world.cut = planned
+    world.run(4.0)
+    world.cut = set()
+    world.run(10.0)
+    assert not world.broken()
+    assert all(s == ["completed"] for s in world.states().values())
+    assert set(world.states()) == set(range(6))
+
+
+@pytest.mark.parametrize("late_s", [0.0, 0.2, 0.5, 2.0, 5.0])
+def test_starts_without_an_answer_are_settled_by_a_stop(make_world, late_s):
+    """Guards against a second start while the first may still happen."""
+    world = make_world(seed=3)
+    world.lose_starts = 0.3
+    world.late_s = late_s
+    for number in range(12):
+        world.submit(f"entry-{number % 2}", worlds.job(number, work_s=0.5))
+    world.run(20.0)
+    assert not world.broken()
+    assert all(s == ["completed"] for s in world.states().values())
+    assert set(world.states()) == set(range(12))
+
+
+def test_a_restarted_agent_stops_what_it_does_not_know(world):
+    """Guards against work of an earlier process beyond the capacity."""
+    for number in range(6):
+        world.submit("entry-0", worlds.job(number, work_s=2.0))
+    world.run(0.5)
+    world.kill("agent-1")
+    world.start_agent("agent-1", incarnation=2)
+    world.run(12.0)
+    assert not world.broken()
+    assert all(s == ["completed"] for s in world.states().values())
+
+
+def test_a_dead_endpoint_gives_its_work_back(world):
+    """Guards against jobs that wait for an endpoint that is gone."""
+    for number in range(6):
+        world.submit("entry-0", worlds.job(number, work_s=2.0))
+    world.run(0.5)
+    world.endpoints["agent-1"].is_down = True
+    world.run(12.0)
+    assert not world.broken()
+    assert all(s == ["completed"] for s in world.states().values())
