Serve metrics as text on the metrics port of each process

Cause: on the users' platform metrics are fetched from an address of the settings; the OTLP export of the product pushes them.

--- a/src/_jasminewind/decisions/jobs/keeper.py
+++ b/src/_jasminewind/decisions/jobs/keeper.py
@@ -5,6 +5,7 @@
 import typing
 
 from _jasminewind import members
+from _jasminewind import metrics
 from _jasminewind import resources
 from _jasminewind.decisions import core
 from _jasminewind.decisions.jobs import actions
@@ -67,7 +68,8 @@
 
     TICK_S = 0.05
 
-    def __init__(self) -> None:
+    def __init__(self, *, meter: metrics.Meter = metrics.NO_METER) -> None:
+        self.meter = meter
         self.endpoint: runs.EndpointRecord | None = None
         self.announced_s = 0.0
         self.lease = leases.EndpointLease()
@@ -283,6 +285,7 @@
             why = self.refusal(order, age_s)
             if why:
                 self.log("refuse_run", why, order.key)
+                self.meter.add(metrics.ORDERS_REFUSED)
                 self.refuse(sender, order.key, why, now)
             else:
                 due_s = now.mono_s + order.slack_s
@@ -380,6 +383,7 @@
         elif reply.outcome is actions.CallOutcome.LOST:
             run.state = room.RunState.DOUBTFUL
             self.log("start_unanswered", reply.reason, key)
+            self.meter.add(metrics.STARTS_UNANSWERED)
             self.stop(run, runs.RunOutcome.LAPSED, now)
         else:
             outcome = runs.RunOutcome.NOT_STARTED
@@ -531,6 +535,7 @@
     ) -> None:
         """Renew again soon; give up new work when that fails too."""
         self.lost_renewals += 1
+        self.meter.add(metrics.RENEWALS_LOST)
         self.renew_at_s = now.mono_s
         was_lost = reply.outcome is actions.CallOutcome.LOST
         if self.lost_renewals >= LOST_RENEWALS or not was_lost:
@@ -690,6 +695,9 @@
         if outcome is runs.RunOutcome.DONE and not self.lost_renewals:
             # After a lost answer the time of the end is not known.
             self.learn(run.order.estimate_s, run_s)
+        self.meter.add(metrics.RUNS_ENDED, outcome=outcome.value)
+        if run_s:
+            self.meter.record(metrics.RUN_TIME, run_s)
         end = runs.RunEnd(
             key=run.key,
             outcome=outcome,
--- a/src/_jasminewind/decisions/jobs/owner.py
+++ b/src/_jasminewind/decisions/jobs/owner.py
@@ -5,6 +5,7 @@
 import typing
 
 from _jasminewind import members
+from _jasminewind import metrics
 from _jasminewind.decisions import core
 from _jasminewind.decisions.jobs import actions
 from _jasminewind.decisions.jobs import admission
@@ -27,6 +28,8 @@
 MOVE_COST_S = 0.06
 # Failed runs beyond the limit of the queue that faulty endpoints explain.
 MAX_EXCUSED_FAILURES = 2
+# Time between readings of the gauges.
+MEASURE_PERIOD_S = 1.0
 # Numbers of runs are remembered this long after the end of their job, for
 # a caller that submits it again. Callers do so within a few seconds.
 KEEP_NUMBERS_S = 30.0
@@ -49,7 +52,11 @@
     TICK_S = 0.05
 
     def __init__(
-        self, *, policy: placement.Placement, settled_at_s: float = 0.0
+        self,
+        *,
+        policy: placement.Placement,
+        settled_at_s: float = 0.0,
+        meter: metrics.Meter = metrics.NO_METER,
     ) -> None:
         """Place by ``policy``.
 
@@ -57,6 +64,7 @@
         for them.
         """
         self.policy = policy
+        self.meter = meter
         self.settled_at_s = settled_at_s
         self.jobs: dict[str, tracking.Job] = {}
         self.agents: dict[members.NodeId, agents.Agent] = {}
@@ -72,6 +80,7 @@
         # Runs of answered jobs whose end is not known yet.
         self.leftover: dict[str, set[runs.RunKey]] = {}
         self.can_place = False
+        self.next_measure_s = 0.0
         self.actions: core.Actions = []
 
     def handles(self) -> typing.Iterable[type]:
@@ -85,12 +94,18 @@
 
     @classmethod
     def from_policy(
-        cls, name: str, *, rng: random.Random, now_s: float
+        cls,
+        name: str,
+        *,
+        rng: random.Random,
+        now_s: float,
+        meter: metrics.Meter = metrics.NO_METER,
     ) -> "JobOwner":
         """Return an owner with the placement policy of that name."""
         return cls(
             policy=placement.from_name(name, rng=rng),
             settled_at_s=now_s + FIND_AGENTS_S,
+            meter=meter,
         )
 
     def log(
@@ -148,6 +163,7 @@
         refused = self.refusal(job, now)
         if refused is not None:
             self.log("refuse", spec.job, refused.reason)
+            self.measure_answer(job, refused, now)
             self.actions.append(
                 actions.AnswerJob(job=spec.job, answer=refused)
             )
@@ -431,6 +447,9 @@
             if answer is not None:
                 self.answer(job, answer, now)
         self.forget_numbers(now)
+        if now.mono_s >= self.next_measure_s:
+            self.next_measure_s = now.mono_s + MEASURE_PERIOD_S
+            self.measure(now)
         self.can_place = True
         return self.flush(now)
 
@@ -481,6 +500,7 @@
         agent = run.agent
         del agent.runs[run.key]
         task.run = None
+        self.meter.add(metrics.RUNS_ENDED, outcome=end.outcome.value)
         if end.checkpoint and task.shape.checkpoints:
             task.checkpoint = end.checkpoint
         if end.outcome is not runs.RunOutcome.DONE:
@@ -563,6 +583,7 @@
     ) -> None:
         """Give an agent that fails what it starts no new work."""
         agent.eject(now.mono_s)
+        self.meter.add(metrics.EJECTIONS)
         pause_s = agent.ejected_until_s - now.mono_s
         self.log(
             "eject",
@@ -604,6 +625,7 @@
     ) -> None:
         """Stop a run so that its task starts anew elsewhere."""
         run.is_moving = True
+        self.meter.add(metrics.RUNS_MOVED)
         run.task.avoid.add(run.agent.node.name)
         self.stops[run.agent.node].append(run.key)
         self.log(
@@ -641,6 +663,7 @@
             if run is not None:
                 self.leftover.setdefault(job.spec.job, set()).add(run.key)
                 self.stops[run.agent.node].append(run.key)
+        self.measure_answer(job, answer, now)
         took_s = now.mono_s - job.arrived_s
         late_s = now.mono_s - job.due_s
         self.log(
@@ -651,6 +674,30 @@
         )
         self.actions.append(actions.AnswerJob(job=job.spec.job, answer=answer))
 
+    def measure_answer(
+        self, job: tracking.Job, answer: specs.JobAnswer, now: core.Instant
+    ) -> None:
+        """Count an answer and the time that it took."""
+        queue = job.spec.queue.name
+        self.meter.add(
+            metrics.JOBS_ANSWERED, state=answer.state.value, queue=queue
+        )
+        if answer.state is not specs.JobState.COMPLETED:
+            return
+        self.meter.record(
+            metrics.JOB_TIME, now.mono_s - job.arrived_s, queue=queue
+        )
+        if now.mono_s <= job.due_s:
+            self.meter.add(metrics.JOBS_ON_TIME, queue=queue)
+
+    def measure(self, now: core.Instant) -> None:
+        """Record what waits and which agents can be used."""
+        usable = sum(a.is_usable(now.mono_s) for a in self.agents.values())
+        unusable = len(self.agents) - usable
+        self.meter.record(metrics.AGENTS, usable, usable="yes")
+        self.meter.record(metrics.AGENTS, unusable, usable="no")
+        self.meter.record(metrics.QUEUED, self.backlog.size)
+
     def forget_numbers(self, now: core.Instant) -> None:
         """Forget the run numbers of jobs that ended long ago."""
         for job_id, kept in list(self.numbers.items()):
--- a/src/_jasminewind/metrics.py
+++ b/src/_jasminewind/metrics.py
@@ -156,6 +156,34 @@
 TABLE_TIME = histogram(
     "table.time", "s", "Duration of calls to the table.", TIME_BOUNDS_S
 )
+JOB_TIME = histogram(
+    "job.time", "s", "Time until the answer to a job.", TIME_BOUNDS_S
+)
+JOBS_ANSWERED = counter(
+    "jobs.answered", "{job}", "Answers to jobs, by state and queue."
+)
+JOBS_ON_TIME = counter(
+    "jobs.on_time", "{job}", "Jobs completed before they were due, by queue."
+)
+RUNS_ENDED = counter("runs.ended", "{run}", "Ends of runs, by outcome.")
+RUNS_MOVED = counter(
+    "runs.moved", "{run}", "Runs stopped to start anew elsewhere."
+)
+ORDERS_REFUSED = counter(
+    "orders.refused", "{run}", "Orders that an agent refused."
+)
+EJECTIONS = counter(
+    "endpoints.ejections", "{endpoint}", "Agents given no work for a while."
+)
+AGENTS = gauge(
+    "agents", "{agent}", "Agents known, by whether they are usable."
+)
+RENEWALS_LOST = counter(
+    "renewals.lost", "{call}", "Renewals that the endpoint did not answer."
+)
+STARTS_UNANSWERED = counter(
+    "starts.unanswered", "{call}", "Starts that the endpoint did not answer."
+)
 LOOP_LAG = histogram(
     "reactor.lag", "s", "Delay of timers in the process.", TIME_BOUNDS_S
 )
--- /dev/null
+++ b/src/_jasminewind/metrics_text.py
@@ -0,0 +1,99 @@
+"""Metrics as text that a process serves over HTTP."""
+
+import typing
+
+import prometheus_client
+from twisted.web import resource
+from twisted.web import server
+
+from _jasminewind import metrics
+
+PATH = b"metrics"
+
+
+class TextMeter(metrics.Meter):
+    """Keeps measurements for readers that fetch them.
+
+    An instrument appears with its first measurement, whose attributes are
+    those of all later ones.
+    """
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self.instruments: dict[str, typing.Any] = {}
+
+    def add(
+        self,
+        instrument: metrics.Instrument,
+        amount: float = 1,
+        **attributes: str,
+    ) -> None:
+        """Add to a counter."""
+        self.find(instrument, attributes).inc(amount)
+
+    def record(
+        self, instrument: metrics.Instrument, value: float, **attributes: str
+    ) -> None:
+        """Record one value of a histogram or a gauge."""
+        found = self.find(instrument, attributes)
+        if instrument.kind is metrics.Kind.GAUGE:
+            found.set(value)
+        else:
+            found.observe(value)
+
+    def find(
+        self, instrument: metrics.Instrument, attributes: dict[str, str]
+    ) -> typing.Any:
+        """Return the series of an instrument with these attributes."""
+        found = self.instruments.get(instrument.name)
+        if found is None:
+            found = self.create(instrument, tuple(sorted(attributes)))
+            self.instruments[instrument.name] = found
+        return found.labels(**attributes) if attributes else found
+
+    def create(
+        self, instrument: metrics.Instrument, names: tuple[str, ...]
+    ) -> typing.Any:
+        """Create an instrument in the registry."""
+        options: dict[str, typing.Any] = {
+            "name": instrument.name.replace(".", "_"),
+            "documentation": f"{instrument.description} [{instrument.unit}]",
+            "labelnames": names,
+            "registry": self.registry,
+        }
+        if instrument.kind is metrics.Kind.COUNTER:
+            return prometheus_client.Counter(**options)
+        if instrument.kind is metrics.Kind.GAUGE:
+            return prometheus_client.Gauge(**options)
+        options["buckets"] = instrument.bounds
+        return prometheus_client.Histogram(**options)
+
+    def text(self) -> bytes:
+        """Return every measurement as text."""
+        return prometheus_client.generate_latest(self.registry)
+
+
+class MetricsResource(resource.Resource):
+    """Serves the text of a meter."""
+
+    isLeaf = True
+
+    def __init__(self, meter: TextMeter) -> None:
+        super().__init__()
+        self.meter = meter
+
+    # The name is twisted's.
+    def render_GET(self, request: typing.Any) -> bytes:  # noqa: N802
+        """Return the measurements."""
+        request.setHeader("Content-Type", "text/plain; version=0.0.4")
+        return self.meter.text()
+
+
+def site(meter: TextMeter) -> server.Site:
+    """Return the factory to listen with."""
+    root = resource.Resource()
+    root.putChild(PATH, typing.cast(typing.Any, MetricsResource(meter)))
+    found = server.Site(root)
+    found.noisy = False
+    found.displayTracebacks = False
+    return found
--- a/src/_jasminewind/nodes/job_agent.py
+++ b/src/_jasminewind/nodes/job_agent.py
@@ -85,7 +85,7 @@
         self.connect = connect
         self.on_endpoint = on_endpoint
         self.known: registry.Known | None = None
-        self.keeper = keeper.Keeper()
+        self.keeper = keeper.Keeper(meter=meter)
         self.calls: EndpointCalls | None = None
         self.address = members.NO_ADDRESS
         self.latest: Announcement | None = None
--- a/src/_jasminewind/nodes/job_entry.py
+++ b/src/_jasminewind/nodes/job_entry.py
@@ -76,7 +76,10 @@
         )
         self.config = specs.NO_CONFIGURATION
         self.owner = owner.JobOwner.from_policy(
-            placement, rng=rng, now_s=timer_service.now().mono_s
+            placement,
+            rng=rng,
+            now_s=timer_service.now().mono_s,
+            meter=meter,
         )
         self.cancellation = cancellation.Cancellation(jobs=self.owner)
         self.cancelling: dict[int, defer.Deferred[bool]] = {}
--- a/src/_jasminewind/platform/daemon.py
+++ b/src/_jasminewind/platform/daemon.py
@@ -15,6 +15,7 @@
 from _jasminewind import job_settings
 from _jasminewind import logs
 from _jasminewind import members
+from _jasminewind import metrics_text
 from _jasminewind import timers
 from _jasminewind.decisions.jobs import registry
 from _jasminewind.platform import bodies
@@ -70,6 +71,7 @@
             )
         ]
         self.known: registry.Known | None = None
+        self.meter = metrics_text.TextMeter()
         self.ports: list[typing.Any] = []
         self.sites: list[tuple[str, typing.Any]] = []
         self.leaving_since_s = 0.0
@@ -84,6 +86,7 @@
             "member": self.member,
             "decision_log": self.decision_log,
             "log": self.log,
+            "meter": self.meter,
         }
         if self.settings.role is members.Role.ENTRY:
             return self.new_entry(common)
@@ -196,13 +199,14 @@
         for text, site in self.sites:
             address = job_settings.address(text)
             assert address is not None
-            endpoint = endpoints.TCP4ServerEndpoint(
-                self.reactor,
-                address.port,
-                backlog=LISTEN_BACKLOG,
-                interface=address.host,
+            self.listen(address, site)
+        if self.settings.metrics_port:
+            self.listen(
+                members.Address(
+                    self.settings.host, self.settings.metrics_port
+                ),
+                metrics_text.site(self.meter),
             )
-            self.keep(endpoint.listen(site))
         for follower in self.followers:
             follower.start()
         if self.settings.role is members.Role.ENTRY:
@@ -211,6 +215,16 @@
             self.register()
         self.log.info("started", role=self.settings.role.value)
 
+    def listen(self, address: members.Address, site: typing.Any) -> None:
+        """Serve ``site`` at an address of this machine."""
+        endpoint = endpoints.TCP4ServerEndpoint(
+            self.reactor,
+            address.port,
+            backlog=LISTEN_BACKLOG,
+            interface=address.host,
+        )
+        self.keep(endpoint.listen(site))
+
     def keep(self, listening: typing.Any) -> None:
         """Remember a port, or stop when it cannot be opened."""
         listening.addCallbacks(self.ports.append, self.cannot_listen)
