--- a/src/_jasminewind/decisions/jobs/owner.py
+++ b/src/_jasminewind/decisions/jobs/owner.py
@@ -22,10 +22,13 @@
 # A new entry is found by its agents within this time: they try its address
 # with every beat, and a restarted agent needs some 0.7 s.
 FIND_AGENTS_S = 2.0
-# A run is moved when its rest takes longer than this many times a whole run
-# elsewhere, and the time to stop it and to start it there.
-MOVE_FACTOR = 1.3
+# Time to stop a run and to start its task elsewhere.
 MOVE_COST_S = 0.06
+# A late job gains from a move only when its rest takes this many times a
+# whole run elsewhere; the work done so far is thrown away.
+LATE_MOVE_FACTOR = 3.0
+# So often a task is moved at most.
+MAX_MOVES = 2
 # Failed runs beyond the limit of the queue that faulty endpoints explain.
 MAX_EXCUSED_FAILURES = 2
 # Time between readings of the gauges.
@@ -613,7 +616,7 @@
                 continue
             best = min(found, key=lambda a: a.load.slowness)
             instead_s = slow.work_s * best.load.slowness
-            if MOVE_FACTOR * instead_s + MOVE_COST_S < slow.left_s:
+            if is_worth_moving(run.task, slow.left_s, instead_s, now.mono_s):
                 self.move(run, slow, best, instead_s)
 
     def move(
@@ -712,3 +715,21 @@
     def has_agents(self, now: core.Instant) -> bool:
         """Tell whether any agent takes work."""
         return any(a.is_usable(now.mono_s) for a in self.agents.values())
+
+
+def is_worth_moving(
+    task: tracking.Task, left_s: float, instead_s: float, now_s: float
+) -> bool:
+    """Tell whether a task should start anew elsewhere.
+
+    ``left_s`` is the rest of its run, ``instead_s`` a whole run elsewhere.
+    A job that is on time where it is stays there.
+    """
+    job = task.job
+    rest_s = job.remaining_s(task.step) - task.shape.estimate_s
+    due_s = job.due_s - rest_s
+    if task.moves >= MAX_MOVES or now_s + left_s <= due_s:
+        return False
+    if now_s + MOVE_COST_S + instead_s <= due_s:
+        return True
+    return left_s > LATE_MOVE_FACTOR * (instead_s + MOVE_COST_S)
--- a/src/_jasminewind/decisions/jobs/tracking.py
+++ b/src/_jasminewind/decisions/jobs/tracking.py
@@ -37,6 +37,7 @@
         self.failures: list[Failure] = []
         self.avoid: set[str] = set()
         self.checkpoint = ""
+        self.moves = 0
         self.is_waiting = False
         self.is_done = False
         self.run: Run | None = None
--- a/src/_jasminewind/platform/daemon.py
+++ b/src/_jasminewind/platform/daemon.py
@@ -1,5 +1,6 @@
 """One process on the users' platform: an entry or an agent for jobs."""
 
+import collections.abc
 import os
 import pathlib
 import random
@@ -40,9 +41,14 @@
     """A role with its ports, from start to graceful shutdown."""
 
     def __init__(
-        self, *, reactor: typing.Any, chosen: job_settings.JobSettings
+        self,
+        *,
+        reactor: typing.Any,
+        chosen: job_settings.JobSettings,
+        on_end: collections.abc.Callable[[], None],
     ) -> None:
         self.reactor = reactor
+        self.on_end = on_end
         self.settings = chosen
         self.timers = timers.TimerService(clock=reactor)
         self.log = structlog.get_logger("daemon")
@@ -274,7 +280,7 @@
             port.stopListening()
         self.decision_log.close()
         self.log.info("stopped")
-        self.reactor.callLater(LAST_WRITES_S, self.reactor.stop)
+        self.reactor.callLater(LAST_WRITES_S, self.on_end)
 
 
 def load() -> job_settings.Read:
@@ -307,7 +313,7 @@
 
     reactor = typing.cast(typing.Any, installed)
     clocks.use_steady_clock(reactor)
-    daemon = Daemon(reactor=reactor, chosen=chosen)
+    daemon = Daemon(reactor=reactor, chosen=chosen, on_end=reactor.stop)
     for number, handler in (
         (signal.SIGTERM, daemon.on_terminate),
         (signal.SIGINT, daemon.on_terminate),
--- /dev/null
+++ b/testing/platform/site.py
@@ -0,0 +1,253 @@
+"""Stand-ins of the users' platform over HTTP: a store and endpoints."""
+
+import base64
+import json
+
+from twisted.web import resource
+from twisted.web import server
+
+from _jasminewind import resources
+from _jasminewind.decisions.jobs import actions
+from _jasminewind.messages import runs
+from testing.decisions.jobs import endpoint as fake
+
+HISTORY_GONE = 410
+REASONS = {
+    actions.CallOutcome.FENCED: "fence",
+    actions.CallOutcome.OUTDATED: "old",
+    actions.CallOutcome.LATE: "late",
+}
+
+
+class Store(resource.Resource):
+    """Rows with one version counter, and a feed of changes.
+
+    ``status`` other than 200 is the answer to every call. ``oldest`` is the
+    first version whose changes the feed still has.
+    """
+
+    isLeaf = True
+
+    def __init__(self, reactor):
+        super().__init__()
+        self.reactor = reactor
+        self.rows = {}
+        self.version = 0
+        self.status = 200
+        self.oldest = 0
+        self.calls = []
+        self.waiting = []
+
+    def put(self, table, key, value):
+        """Write a row and wake the feeds."""
+        self.version += 1
+        self.rows[table, key] = (self.version, value)
+        waiting, self.waiting = self.waiting, []
+        for wake in waiting:
+            wake()
+
+    def row(self, table, key):
+        """Return a row as it is sent."""
+        version, value = self.rows[table, key]
+        return {
+            "table": table,
+            "part": "",
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "version-number": version,
+        }
+
+    def render_POST(self, request):  # noqa: N802
+        """Apply a transaction."""
+        self.calls.append(request.path)
+        if self.status != 200:
+            request.setResponseCode(self.status)
+            return b"{}"
+        for row in json.loads(request.content.read())["puts"]:
+            self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+        return json.dumps({"version-number": self.version}).encode()
+
+    def render_GET(self, request):  # noqa: N802
+        """Read a table, or wait for its changes."""
+        self.calls.append(request.path)
+        if self.status != 200:
+            request.setResponseCode(self.status)
+            return b"{}"
+        query = {k.decode(): v[0].decode() for k, v in request.args.items()}
+        if request.path == b"/-/rows-get":
+            return self.page(query["table"], 0)
+        after = int(query["after"])
+        if after < self.oldest:
+            request.setResponseCode(HISTORY_GONE)
+            return b"{}"
+        if self.changed(query["table"], after):
+            return self.page(query["table"], after)
+        self.wait(request, query, after)
+        return server.NOT_DONE_YET
+
+    def wait(self, request, query, after):
+        """Answer a feed after a change, or when its time is up."""
+        done = []
+
+        def wake():
+            if not done and not request._disconnected:
+                done.append(True)
+                request.write(self.page(query["table"], after))
+                request.finish()
+
+        request.notifyFinish().addErrback(done.append)
+        self.waiting.append(wake)
+        self.reactor.callLater(int(query["wait-ms"]) / 1000, wake)
+
+    def changed(self, table, after):
+        """Return the keys of a table that changed after a version."""
+        return sorted(
+            key
+            for (name, key), (version, _) in self.rows.items()
+            if name == table and version > after
+        )
+
+    def page(self, table, after):
+        """Return the rows of a table that changed after a version."""
+        rows = [self.row(table, key) for key in self.changed(table, after)]
+        body = {
+            "rows": rows,
+            "has-more": False,
+            "version-number": self.version,
+        }
+        return json.dumps(body).encode()
+
+
+class Machine(resource.Resource):
+    """An endpoint that answers the calls of its agent."""
+
+    isLeaf = True
+
+    def __init__(self, reactor, name, *, born_s):
+        super().__init__()
+        self.reactor = reactor
+        self.fake = fake.FakeEndpoint(name, born_s=born_s)
+        self.calls = []
+
+    def render_POST(self, request):  # noqa: N802
+        """Answer a call."""
+        request.setHeader("Content-Type", "application/json")
+        expected = request.getHeader("X-Expected-Instance")
+        if expected != self.fake.record.name:
+            request.setResponseCode(421)
+            return b"{}"
+        body = json.loads(request.content.read())
+        self.calls.append((request.path, body))
+        now_s = self.reactor.seconds()
+        if request.path == b"/-/hold":
+            return self.hold(request, body, now_s)
+        key = runs.RunKey(body["task"], body["run"])
+        if request.path == b"/-/run-stop":
+            call = actions.CallStop(
+                endpoint=self.fake.record, fence=body["fencing-token"], key=key
+            )
+            return self.answer(request, self.fake.stop(call, now_s))
+        order = runs.RunOrder(
+            key=key,
+            specification=body["specification"],
+            need=resources.Resources(cores=1.0),
+            estimate_s=0.05,
+            slack_s=0.0,
+        )
+        call = actions.CallStart(
+            endpoint=self.fake.record,
+            fence=body["fencing-token"],
+            order=order,
+            deadline_ms=body["deadline-ms"],
+        )
+        return self.answer(request, self.fake.start(call, now_s, 0.05))
+
+    def answer(self, request, reply):
+        """Send a reply to a start or a stop."""
+        body = {"clock-ms": reply.clock_ms}
+        if reply.outcome is not actions.CallOutcome.DONE:
+            request.setResponseCode(409)
+            body["reason"] = REASONS[reply.outcome]
+        return json.dumps(body).encode()
+
+    def hold(self, request, body, now_s):
+        """Renew the lease and list the state."""
+        call = actions.CallRenew(
+            endpoint=self.fake.record,
+            fence=body["fencing-token"],
+            deadline_ms=body.get("deadline-ms", 0),
+            last_end=body.get("last-seen", 0),
+            wait_s=0.0,
+        )
+        reply = self.fake.renew(call, now_s, now_s)
+        if reply.outcome is not actions.CallOutcome.DONE:
+            return self.answer(request, reply)
+        state = {
+            "clock-ms": reply.clock_ms,
+            "running": [
+                [r.key.task, r.key.number, "", r.percent]
+                for r in reply.running
+            ],
+            "ended": [
+                [e.number, e.key.task, e.key.number, e.outcome.value, ""]
+                for e in reply.ended
+            ],
+        }
+        wait_s = min(body.get("wait-ms", 0) / 1000, 0.02)
+
+        def late():
+            if not request._disconnected:
+                request.write(json.dumps(state).encode())
+                request.finish()
+
+        if reply.ended or not wait_s:
+            return json.dumps(state).encode()
+        self.reactor.callLater(wait_s, late)
+        return server.NOT_DONE_YET
+
+
+CONFIGURATION = {
+    "version": 4,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "orders.example",
+            "prefix": "/quotes/",
+            "kind": "non_idempotent",
+            "timeout-ms": 1500,
+            "target-completion-ms": 60,
+            "service": "orders",
+            "attempt-limit": 2,
+            "stretch": 1.6,
+        }
+    ],
+    "services": [{"name": "orders"}],
+    "limits": {"body-bytes": 262144},
+}
+BEAT = {
+    "service": "orders",
+    "zone": "a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold-remaining-ms": 0,
+    "capacity": {
+        "cpu-millicores": 10000,
+        "memory-request-mb": 4096,
+        "gpus": 0,
+    },
+    "labels": ["a", "r1"],
+    "born": 1,
+}
+JOB = {
+    "specification": "text",
+    "best-effort": True,
+    "steps": [
+        {
+            "count": 3,
+            "cpu-millicores": 1000,
+            "memory-request-mb": 64,
+            "estimated-ms": 50,
+        }
+    ],
+}
