Let urgent tasks wait for a usual endpoint; stop ordering at one that hangs

Change: a task waits when every agent with room would make its job late and a usual one would not, and otherwise no longer than a usual agent would save. A run that stood still counts against its agent like a failed one.

Ruled out: waiting only while the job can still be on time.

--- a/src/_jasminewind/decisions/jobs/owner.py
+++ b/src/_jasminewind/decisions/jobs/owner.py
@@ -18,10 +18,13 @@
 
 # Waiting tasks that are passed over in one round because they fit nowhere
 # now, so that smaller tasks behind them can start.
-MAX_PASSED_OVER = 8
+MAX_PASSED_OVER = 16
 # A new entry is found by its agents within this time: they try its address
 # with every beat, and a restarted agent needs some 0.7 s.
 FIND_AGENTS_S = 2.0
+# Time to order a run and to hear of its end, while a task waits for an
+# agent that has no room yet.
+WAIT_MARGIN_S = 0.02
 # Time to stop a run and to start its task elsewhere.
 MOVE_COST_S = 0.06
 # A late job gains from a move only when its rest takes this many times a
@@ -184,7 +187,7 @@
         if spec.job in self.leftover:
             self.log("hold", spec.job, "earlier runs of it have not ended")
         else:
-            self.open_steps(job)
+            self.open_steps(job, now)
         return self.flush(now)
 
     def refusal(
@@ -218,13 +221,18 @@
             waiting_core_s=self.backlog.core_s, cores=cores, entries=entries
         )
 
-    def open_steps(self, job: tracking.Job) -> None:
+    def open_steps(self, job: tracking.Job, now: core.Instant) -> None:
         """Let the tasks wait whose turn has come."""
         kept = self.numbers.get(job.spec.job)
         for task in job.open_steps():
             if kept is not None:
                 task.number = kept.numbers.get(task.name, 0)
-            self.backlog.push(task)
+            self.enqueue(task, now)
+
+    def enqueue(self, task: tracking.Task, now: core.Instant) -> None:
+        """Let a task wait for an agent, from now on."""
+        task.waiting_since_s = now.mono_s
+        self.backlog.push(task)
         self.can_place = True
 
     def cancel(
@@ -266,8 +274,8 @@
             if task is None:
                 break
             found = self.places(task, now)
-            if found:
-                preferred = placement.preferred(task, found)
+            preferred = placement.preferred(task, found)
+            if found and not self.should_wait(task, preferred, now):
                 agent = self.policy.choose(task, preferred, now.mono_s)
                 self.order(task, agent, now, len(found))
             else:
@@ -287,6 +295,30 @@
             and placement.has_place(task, agent)
         ]
 
+    def should_wait(
+        self,
+        task: tracking.Task,
+        found: list[agents.Agent],
+        now: core.Instant,
+    ) -> bool:
+        """Tell whether a task should wait for a faster agent.
+
+        It does when every agent with room would make its job late, but a
+        usual one that gets room soon would not. A job that is late in any
+        case waits no longer than the time that a usual agent would save.
+        """
+        job = task.job
+        rest_s = job.remaining_s(task.step) - task.shape.estimate_s
+        left_s = job.due_s - rest_s - now.mono_s
+        best_s = min(placement.expected_run_s(task, a) for a in found)
+        if best_s <= left_s:
+            return False
+        usual = placement.usual_slowness(list(self.agents.values()))
+        usual_s = task.shape.estimate_s * usual
+        if usual_s + WAIT_MARGIN_S <= left_s:
+            return True
+        return now.mono_s - task.waiting_since_s < best_s - usual_s
+
     def order(
         self,
         task: tracking.Task,
@@ -517,16 +549,16 @@
         if end.outcome is runs.RunOutcome.DONE:
             agent.succeeded()
         if task.job.is_ended:
-            self.take_leftover(run)
+            self.take_leftover(run, now)
             return
         if end.outcome is runs.RunOutcome.DONE:
             self.take_done(task, now)
         elif end.outcome is runs.RunOutcome.FAILED:
             self.take_failure(task, agent, now)
         else:
-            self.place_again(task, agent, end)
+            self.place_again(task, agent, end, now)
 
-    def take_leftover(self, run: tracking.Run) -> None:
+    def take_leftover(self, run: tracking.Run, now: core.Instant) -> None:
         """Let a job begin that was submitted again, after its last run."""
         job_id = run.task.job.spec.job
         left = self.leftover.get(job_id, set())
@@ -536,7 +568,7 @@
         self.leftover.pop(job_id, None)
         job = self.jobs.get(job_id)
         if job is not None:
-            self.open_steps(job)
+            self.open_steps(job, now)
 
     def take_done(self, task: tracking.Task, now: core.Instant) -> None:
         """Open the next steps, or answer the job."""
@@ -547,15 +579,14 @@
             answer = specs.JobAnswer(state=specs.JobState.COMPLETED)
             self.answer(job, answer, now)
         else:
-            self.open_steps(job)
+            self.open_steps(job, now)
 
     def take_failure(
         self, task: tracking.Task, agent: agents.Agent, now: core.Instant
     ) -> None:
         """Try a failed task elsewhere, or fail its job."""
         job = task.job
-        if agent.failed(job.spec.job) and self.may_eject(now):
-            self.eject(agent, job, now)
+        self.blame(agent, job, now)
         task.failures.append(tracking.Failure(agent=agent, at_s=now.mono_s))
         task.avoid.add(agent.node.name)
         limit = job.spec.queue.attempt_limit
@@ -569,8 +600,17 @@
             )
             self.answer(job, answer, now)
             return
-        self.backlog.push(task)
-        self.can_place = True
+        self.enqueue(task, now)
+
+    def blame(
+        self, agent: agents.Agent, job: tracking.Job, now: core.Instant
+    ) -> None:
+        """Note a run that its endpoint may have spoilt."""
+        is_ejected = now.mono_s < agent.ejected_until_s
+        if is_ejected or not agent.failed(job.spec.job):
+            return
+        if self.may_eject(now):
+            self.eject(agent, job, now)
 
     def may_eject(self, now: core.Instant) -> bool:
         """Tell whether enough agents are left without one more."""
@@ -640,16 +680,21 @@
         )
 
     def place_again(
-        self, task: tracking.Task, agent: agents.Agent, end: runs.RunEnd
+        self,
+        task: tracking.Task,
+        agent: agents.Agent,
+        end: runs.RunEnd,
+        now: core.Instant,
     ) -> None:
         """Let a task wait again whose run ended without its own fault."""
+        if end.outcome is runs.RunOutcome.STALLED:
+            self.blame(agent, task.job, now)
         if end.outcome in (
             runs.RunOutcome.STALLED,
             runs.RunOutcome.NOT_STARTED,
         ):
             task.avoid.add(agent.node.name)
-        self.backlog.push(task)
-        self.can_place = True
+        self.enqueue(task, now)
 
     def answer(
         self, job: tracking.Job, answer: specs.JobAnswer, now: core.Instant
--- a/src/_jasminewind/decisions/jobs/tracking.py
+++ b/src/_jasminewind/decisions/jobs/tracking.py
@@ -39,6 +39,7 @@
         self.checkpoint = ""
         self.moves = 0
         self.is_waiting = False
+        self.waiting_since_s = 0.0
         self.is_done = False
         self.run: Run | None = None
 
--- a/testing/decisions/jobs/test_fleet.py
+++ b/testing/decisions/jobs/test_fleet.py
@@ -280,3 +280,42 @@
     done = [s for s in world.states().values() if s == ["completed"]]
     assert len(done) >= 29
     assert len(world.endpoints["agent-1"].starts) < 20
+
+
+def test_urgent_work_waits_for_a_fast_endpoint(make_world):
+    """Guards against late jobs on slow endpoints while others free up.
+
+    Pattern: a third of the endpoints run at a quarter of the speed; the
+    others are full for a moment.
+    """
+    world = make_world(entries=1, agents=6, speeds=(1, 1, 1, 1, 0.25, 0.25))
+    for number in range(30):
+        world.submit("entry-0", worlds.job(number, count=2, work_s=0.1))
+        world.run(0.1)
+    for number in range(30, 36):
+        world.submit("entry-0", worlds.job(number, count=2, work_s=0.1))
+    arrived_s = world.now_s
+    for number in range(40, 46):
+        world.submit("entry-0", worlds.job(number, count=2, work_s=0.1))
+    world.run(2.0)
+    due_s = 1.6 * 0.1 + 0.06
+    late = [
+        number
+        for number in range(30, 46)
+        if worlds.job(number).job in world.answers
+        and world.answers[worlds.job(number).job][0][0] - arrived_s > due_s
+    ]
+    assert not world.broken()
+    assert len(late) <= 2
+
+
+def test_a_hanging_endpoint_gets_no_more_work(make_world):
+    """Guards against sending work to an endpoint that looks idle."""
+    world = make_world(entries=1, agents=6)
+    world.endpoints["agent-1"].stands_still = True
+    for number in range(40):
+        world.submit("entry-0", worlds.job(number, count=2, work_s=0.3))
+        world.run(0.1)
+    world.run(2.0)
+    assert all(s == ["completed"] for s in world.states().values())
+    assert len(world.endpoints["agent-1"].starts) < 12
