Do not move slow runs, and do not hold tasks back from slow endpoints

Cause: both were meant to keep jobs on time beside slow endpoints.

What stays: ejection after two jobs, excused failures, probation, stalls against their agent.

--- a/src/_jasminewind/decisions/jobs/agents.py
+++ b/src/_jasminewind/decisions/jobs/agents.py
@@ -23,8 +23,8 @@
 # than that come from the jobs, not from the endpoints.
 MAX_EJECTED_SHARE = 0.34
 # Time without new work for a faulty agent; it doubles with each ejection.
-EJECTION_S = 1.0
-MAX_EJECTION_S = 8.0
+EJECTION_S = 0.5
+MAX_EJECTION_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/_jasminewind/decisions/jobs/keeper.py
+++ b/src/_jasminewind/decisions/jobs/keeper.py
@@ -11,7 +11,6 @@
 from _jasminewind.decisions.jobs import actions
 from _jasminewind.decisions.jobs import grants
 from _jasminewind.decisions.jobs import leases
-from _jasminewind.decisions.jobs import progress
 from _jasminewind.decisions.jobs import room
 from _jasminewind.messages import runs
 
@@ -41,12 +40,6 @@
 SLOWNESS_WEIGHT = 0.1
 # One run counts within this factor of the mean, as estimates are rough.
 MAX_SLOWNESS_SAMPLE = 4.0
-# A run is reported as slow to its owner when it will take this many times
-# its estimate, as its job is late then at the strictest queue, and when
-# enough of it is left to gain from another endpoint.
-SLOW_FACTOR = 1.6
-MIN_SLOW_LEFT_S = 0.1
-SLOW_REPORT_PERIOD_S = 0.3
 # Estimates below this are not used to learn, in seconds.
 MIN_ESTIMATE_S = 0.005
 
@@ -90,7 +83,6 @@
         self.load_changed = False
         self.slowness = 1.0
         self.learned = 0
-        self.pace: float | None = None
         self.ends: dict[members.NodeId, list[runs.RunEnd]] = (
             collections.defaultdict(list)
         )
@@ -519,7 +511,6 @@
         self.take_ends(reply, now)
         self.lost_renewals = 0
         self.take_running(reply, now)
-        self.review_pace(now)
         # A process that was paused stops the work of owners that gave it
         # up before it renews the lease of that work.
         self.expire_owners(now)
@@ -617,58 +608,6 @@
             )
             self.stop(run, runs.RunOutcome.STALLED, now)
 
-    def review_pace(self, now: core.Instant) -> None:
-        """Learn the pace of what runs, and report runs that are slow."""
-        totals: dict[runs.RunKey, float] = {}
-        for run in self.room.runs.values():
-            if run.state is not room.RunState.RUNNING or run.stopping:
-                continue
-            if run.order.estimate_s < MIN_ESTIMATE_S:
-                continue
-            total_s = run.seen.total_s(now.mono_s - run.started_s)
-            if total_s is not None:
-                totals[run.key] = total_s
-        self.pace = progress.pace(
-            (
-                key.task.partition(".")[0],
-                total_s / self.room.runs[key].order.estimate_s,
-            )
-            for key, total_s in totals.items()
-        )
-        slow: dict[members.NodeId, list[runs.SlowRun]] = {}
-        for key, total_s in totals.items():
-            run = self.room.runs[key]
-            left_s = total_s - (now.mono_s - run.started_s)
-            if not self.is_slow(run, total_s, left_s, now):
-                continue
-            run.reported_s = now.mono_s
-            slow.setdefault(run.owner, []).append(
-                runs.SlowRun(
-                    key=key,
-                    left_s=round(left_s, 3),
-                    work_s=round(total_s / self.current_slowness(), 3),
-                )
-            )
-        for owner, found in slow.items():
-            message = runs.RunsSlow(runs=tuple(found))
-            self.actions.append(actions.send(owner, message))
-
-    def is_slow(
-        self, run: room.Run, total_s: float, left_s: float, now: core.Instant
-    ) -> bool:
-        """Tell whether the owner of a run should hear how slow it is."""
-        return (
-            total_s > SLOW_FACTOR * run.order.estimate_s
-            and left_s > MIN_SLOW_LEFT_S
-            and now.mono_s - run.reported_s > SLOW_REPORT_PERIOD_S
-        )
-
-    def current_slowness(self) -> float:
-        """Return the slowness by what has ended and by what runs."""
-        if self.pace is None:
-            return self.slowness
-        return max(self.slowness, self.pace)
-
     def stop_unknown(self, key: runs.RunKey, now: core.Instant) -> None:
         """Stop a run that nobody here ordered or that was given up."""
         sent_s = self.unknown_stops.get(key, -STOP_RETRY_S)
@@ -776,7 +715,7 @@
             ),
             running=len(self.room.runs) - len(self.room.queue),
             queued=len(self.room.queue),
-            slowness=round(self.current_slowness(), 3),
+            slowness=round(self.slowness, 3),
             owners=max(len(self.grants.owners), 1),
             batch=owner.batch if owner else 0,
         )
--- a/src/_jasminewind/decisions/jobs/placement.py
+++ b/src/_jasminewind/decisions/jobs/placement.py
@@ -102,12 +102,6 @@
     return expected_s
 
 
-def usual_slowness(known: list[agents.Agent]) -> float:
-    """Return the slowness that half of the agents do not exceed."""
-    found = sorted(agent.load.slowness for agent in known)
-    return found[len(found) // 2] if found else 1.0
-
-
 def is_near_data(shape: specs.Step, agent: agents.Agent) -> bool:
     """Tell whether an endpoint is where the data of a step is."""
     if not shape.data_rack or agent.endpoint is None:
--- a/src/_jasminewind/decisions/jobs/room.py
+++ b/src/_jasminewind/decisions/jobs/room.py
@@ -43,7 +43,6 @@
     stop_outcome: runs.RunOutcome = runs.RunOutcome.STOPPED
     stop_sent_s: float = 0.0
     stop_answered_s: float = 0.0
-    reported_s: float = 0.0
     seen: progress.Progress = dataclasses.field(
         default_factory=progress.Progress
     )
--- a/src/_jasminewind/decisions/jobs/tracking.py
+++ b/src/_jasminewind/decisions/jobs/tracking.py
@@ -37,9 +37,7 @@
         self.failures: list[Failure] = []
         self.avoid: set[str] = set()
         self.checkpoint = ""
-        self.moves = 0
         self.is_waiting = False
-        self.waiting_since_s = 0.0
         self.is_done = False
         self.run: Run | None = None
 
@@ -65,7 +63,6 @@
     agent: "agents.Agent"
     sent_s: float
     query_at_s: float
-    is_moving: bool = False
 
 
 class Job:
--- a/src/_jasminewind/messages/registry.py
+++ b/src/_jasminewind/messages/registry.py
@@ -55,7 +55,6 @@
     runs.StopRuns,
     runs.QueryRuns,
     runs.RunsEnded,
-    runs.RunsSlow,
     runs.CancelJob,
     runs.JobCancelled,
 )
--- a/src/_jasminewind/messages/runs.py
+++ b/src/_jasminewind/messages/runs.py
@@ -164,26 +164,6 @@
     load: AgentLoad
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class SlowRun:
-    """A run that takes much longer than its estimate.
-
-    ``left_s`` is its projected rest here, and ``work_s`` what the whole of
-    it would take on an endpoint whose slowness is 1.
-    """
-
-    key: RunKey
-    left_s: float
-    work_s: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class RunsSlow:
-    """Runs of the receiver that another endpoint might end sooner."""
-
-    runs: tuple[SlowRun, ...]
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CancelJob:
     """Ask another entry to cancel a job if it owns it."""
--- a/src/_jasminewind/metrics.py
+++ b/src/_jasminewind/metrics.py
@@ -166,9 +166,6 @@
     "jobs.on_time", "{job}", "Jobs completed before they were due, by queue."
 )
 RUNS_ENDED = counter("runs.ended", "{run}", "Ends of runs, by outcome.")
-RUNS_MOVED = counter(
-    "runs.moved", "{run}", "Runs stopped to start anew elsewhere."
-)
 ORDERS_REFUSED = counter(
     "orders.refused", "{run}", "Orders that an agent refused."
 )
