Let the lease of a silent endpoint lapse; tell a job's story from logs

Change: renewals to an endpoint out of reach only read. A refused connection proves that the endpoint's process is gone, and its work with it. The older clients of the platform treat it as not sent, as before.

Also: jasminewind story prints what log files of several processes tell about one job; check-settings checks settings of processes that run jobs; tests of bounded logs, of the clock and of the settings templates.

Test: test_work_of_a_silent_endpoint_goes_elsewhere_after_its_lease fails without the change.

--- a/src/_jasminewind/cli/main.py
+++ b/src/_jasminewind/cli/main.py
@@ -245,6 +245,29 @@
         body = self._shared.call("OperationsService/Explain", {"id": id})
         self._shared.show(body, lambda: output.explanation(body["entries"]))
 
+    @context.command
+    def story(self, job: str, *files: str) -> None:
+        """Print what log files of several processes tell about one job.
+
+        Args:
+            job: Id of the job.
+            files: Log files of entries and agents.
+        """
+        # Imported here, because the other commands do not need it.
+        from _jasminewind.cli import stories
+
+        read = stories.read(files)
+        if isinstance(read, result.Err):
+            raise outcomes.bad_input(read.err_value)
+        found = stories.story(read.ok_value, job)
+        if not found:
+            raise outcomes.bad_input(
+                f"no line about {job} in these files; name the log of the "
+                "entry that the caller reached"
+            )
+        body = {"lines": [line.text for line in found]}
+        self._shared.show(body, lambda: "\n".join(body["lines"]))
+
     @context.command
     def status(self) -> None:
         """Print a summary of the system."""
@@ -259,8 +282,12 @@
             file: File with the settings.
         """
         # Imported here, because the other commands do not need it.
+        from _jasminewind import job_settings
         from _jasminewind import settings
 
+        if job_settings.is_meant(pathlib.Path(file)):
+            self._check_job_settings(file)
+            return
         read = settings.load(pathlib.Path(file))
         if isinstance(read, result.Err):
             raise outcomes.bad_input(f"{file}:\n{read.err_value}")
@@ -270,6 +297,17 @@
         body = {"file": file, "role": read.ok_value.role.value}
         self._shared.show(body, lambda: f"{file}: valid, role {body['role']}")
 
+    def _check_job_settings(self, file: str) -> None:
+        """Check the settings of a process that runs jobs."""
+        from _jasminewind import job_settings
+
+        read = job_settings.parse(pathlib.Path(file).read_bytes())
+        if isinstance(read, result.Err):
+            raise outcomes.bad_input(f"{file}:\n{read.err_value}")
+        role = read.ok_value.role.value
+        body = {"file": file, "role": role}
+        self._shared.show(body, lambda: f"{file}: valid, role {role}, jobs")
+
 
 def check_initial(file: str) -> None:
     """Raise unless ``file`` holds a valid first configuration."""
--- a/src/_jasminewind/decisions/jobs/keeper.py
+++ b/src/_jasminewind/decisions/jobs/keeper.py
@@ -40,6 +40,11 @@
 SLOWNESS_WEIGHT = 0.1
 # One run counts within this factor of the mean, as estimates are rough.
 MAX_SLOWNESS_SAMPLE = 4.0
+# Replies to a start after which nothing more is started for now.
+UNREACHABLE = (
+    actions.CallOutcome.UNHEALTHY,
+    actions.CallOutcome.NO_LISTENER,
+)
 # Estimates below this are not used to learn, in seconds.
 MIN_ESTIMATE_S = 0.005
 
@@ -383,7 +388,7 @@
                 outcome = runs.RunOutcome.OUTDATED
             why = f"{reply.outcome.value}: {reply.reason}"
             self.log("start_refused", why, key)
-            if reply.outcome is actions.CallOutcome.UNHEALTHY:
+            if reply.outcome in UNREACHABLE:
                 self.set_reachable(False, why, now)
             self.end(run, outcome, now, reason=why)
         self.pump(now)
@@ -469,7 +474,11 @@
         deadline_ms = 0
         wait_s = 0.0
         if self.is_settled:
-            deadline_ms = self.lease.next_deadline_ms(now.mono_s)
+            # Renewals without an answer may still take effect. Once the
+            # endpoint is out of reach they only read, so that the lease
+            # certainly lapses and its work can go elsewhere.
+            if self.is_reachable:
+                deadline_ms = self.lease.next_deadline_ms(now.mono_s)
             is_idle = self.is_idle()
             wait_s = IDLE_RENEW_WAIT_S if is_idle else RENEW_WAIT_S
         self.actions.append(
@@ -527,6 +536,9 @@
         """Renew again soon; give up new work when that fails too."""
         self.lost_renewals += 1
         self.meter.add(metrics.RENEWALS_LOST)
+        if reply.outcome is actions.CallOutcome.NO_LISTENER:
+            self.lose_everything("no process listens at the endpoint", now)
+            self.is_settled = False
         self.renew_at_s = now.mono_s
         was_lost = reply.outcome is actions.CallOutcome.LOST
         if self.lost_renewals >= LOST_RENEWALS or not was_lost:
--- a/src/_jasminewind/job_settings.py
+++ b/src/_jasminewind/job_settings.py
@@ -1,8 +1,10 @@
 """Settings of the processes that run jobs, read from JSON."""
 
 import dataclasses
+import pathlib
 import typing
 
+import msgspec
 import result
 
 from _jasminewind import members
@@ -110,6 +112,15 @@
     return settings.parse_as(text, JobSettings, contradictions)
 
 
+def is_meant(path: pathlib.Path) -> bool:
+    """Tell whether a file holds settings of a process that runs jobs."""
+    try:
+        found = msgspec.json.decode(path.read_bytes())
+    except (OSError, msgspec.MsgspecError, UnicodeDecodeError):
+        return False
+    return isinstance(found, dict) and "link_port" in found
+
+
 def contradictions(
     chosen: JobSettings,
 ) -> typing.Iterator[settings.Mistake]:
--- a/src/_jasminewind/platform/http.py
+++ b/src/_jasminewind/platform/http.py
@@ -38,6 +38,7 @@
     """Ways in which a call can fail."""
 
     NOT_SENT = "NOT_SENT"
+    NO_LISTENER = "NO_LISTENER"
     REFUSED = "REFUSED"
     CONFLICT = "CONFLICT"
     FAILED = "FAILED"
@@ -48,7 +49,8 @@
 class CallError:
     """A failed call.
 
-    ``NOT_SENT``, ``REFUSED`` and ``CONFLICT`` prove that it had no effect;
+    ``NOT_SENT``, ``NO_LISTENER`` (the port refuses connections),
+    ``REFUSED`` and ``CONFLICT`` prove that it had no effect;
     ``FAILED`` means that the server answered with an error; ``UNKNOWN``
     means that the answer is lost. ``generation`` is as in
     :class:`protocol.Refused`.
@@ -272,6 +274,8 @@
         kind = CallFailure.UNKNOWN
         if reason.check(*NOT_SENT_ERRORS):
             kind = CallFailure.NOT_SENT
+        if reason.check(net_error.ConnectionRefusedError):
+            kind = CallFailure.NO_LISTENER
         text = f"{type(reason.value).__name__}: {reason.getErrorMessage()}"
         return result.Err(CallError(failure=kind, reason=text[:300]))
 
--- a/testing/decisions/jobs/test_fleet.py
+++ b/testing/decisions/jobs/test_fleet.py
@@ -274,3 +274,22 @@
     world.run(2.0)
     assert all(s == ["completed"] for s in world.states().values())
     assert len(world.endpoints["agent-1"].starts) < 12
+
+
+def test_work_of_a_silent_endpoint_goes_elsewhere_after_its_lease(world):
+    """Guards against renewals that keep a lease in doubt for ever.
+
+    An unanswered renewal may have taken effect, so that the agent must stop
+    renewing before it can know that the lease has lapsed.
+    """
+    for number in range(3):
+        world.submit("entry-0", worlds.job(number, count=3, work_s=1.0))
+    world.run(0.3)
+    silent_s = world.now_s
+    world.endpoints["agent-1"].is_down = True
+    world.run(5.0)
+    assert not world.broken()
+    assert all(s == ["completed"] for s in world.states().values())
+    took_s = [found[0][0] - silent_s for found in world.answers.values()]
+    # Three lost renewals, the lease, and the task itself.
+    assert max(took_s) < 0.7 + 1.02 + 1.0 + 0.3
--- /dev/null
+++ b/testing/test_clocks.py
@@ -0,0 +1,19 @@
+"""Tests of the clock by which processes measure time."""
+
+import time
+
+from twisted.internet import selectreactor
+
+from _jasminewind import clocks
+
+
+def test_a_step_of_the_wall_clock_moves_no_timer(monkeypatch):
+    """Guards against leases and timers that jump with the time of day."""
+    reactor = selectreactor.SelectReactor()
+    clocks.use_steady_clock(reactor)
+    called = []
+    reactor.callLater(10.0, called.append, True)
+    monkeypatch.setattr(time, "time", lambda: 1e12)
+    reactor.runUntilCurrent()
+    assert not called
+    assert abs(reactor.seconds() - clocks.steady_s()) < 1.0
--- /dev/null
+++ b/testing/test_job_settings.py
@@ -0,0 +1,82 @@
+"""Tests of the settings of processes that run jobs."""
+
+import json
+import pathlib
+import re
+
+import pytest
+
+from _jasminewind import job_settings
+from _jasminewind import members
+
+ENTRY = {
+    "role": "entry",
+    "name": "entry-1",
+    "region": "r",
+    "failure_domain": "a",
+    "host": "127.0.0.1",
+    "link_port": 7720,
+    "callers": "127.0.0.1:8161",
+    "readiness": "127.0.0.1:8167",
+    "store": "127.0.0.1:8169",
+}
+AGENT = {
+    **{k: v for k, v in ENTRY.items() if k not in ("callers", "readiness")},
+    "role": "agent",
+    "control": "127.0.0.1:8166",
+}
+DEPLOY = pathlib.Path(__file__).resolve().parent.parent / "deploy"
+
+
+def mistakes(found):
+    """Return the paths of the mistakes in settings."""
+    read = job_settings.parse(json.dumps(found).encode())
+    return [m.path for m in read.unwrap_err().mistakes]
+
+
+@pytest.mark.parametrize("found", [ENTRY, AGENT])
+def test_settings_of_each_role_are_valid(found):
+    """Guards against a role that cannot be configured."""
+    read = job_settings.parse(json.dumps(found).encode())
+    assert read.unwrap().role == members.Role(found["role"])
+
+
+@pytest.mark.parametrize(
+    ("base", "fields", "path"),
+    [
+        (ENTRY, {"callers": ""}, "callers"),
+        (ENTRY, {"control": "127.0.0.1:1"}, "control"),
+        (AGENT, {"control": ""}, "control"),
+        (AGENT, {"callers": "127.0.0.1:1"}, "callers"),
+        (AGENT, {"store": "somewhere"}, "store"),
+        (AGENT, {"store": "127.0.0.1:99999"}, "store"),
+        (AGENT, {"shutdown_limit_s": 0}, "shutdown_limit_s"),
+        (AGENT, {"link_prot": 1}, "link_prot"),
+    ],
+)
+def test_each_mistake_is_named(base, fields, path):
+    """Guards against a process that starts with settings that are wrong."""
+    assert mistakes({**base, **fields}) == [path]
+
+
+@pytest.mark.parametrize("role", ["entry", "agent"])
+def test_the_template_of_each_role_names_every_required_setting(role):
+    """Guards against a template that gives settings that are not valid."""
+    text = (DEPLOY / f"{role}.json").read_text()
+    values = {
+        "node-name": "node-1",
+        "region": "r",
+        "zone": "a",
+        "ip-address": "127.0.0.1",
+        "internal-ports.0": 7720,
+        "listen-addresses.front": "127.0.0.1:8161",
+        "listen-addresses.ready": "127.0.0.1:8167",
+        "listen-addresses.control": "127.0.0.1:8166",
+        "platform.address": "127.0.0.1:8169",
+    }
+    filled = re.sub(
+        r"\{\{([^|}]+)\|json\}\}",
+        lambda found: json.dumps(values[found[1]]),
+        text,
+    )
+    assert job_settings.parse(filled.encode()).unwrap().role.value == role
--- a/testing/test_logs.py
+++ b/testing/test_logs.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import os
 import random
 
 import pytest
@@ -95,3 +96,42 @@
     log, _ = make_log(1.0)
     log.decision(core.LogDecision(kind="route", work_id="w"))
     assert lines(stream) == []
+
+
+@pytest.fixture
+def pipe():
+    """Return both ends of a pipe."""
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def test_lines_beyond_the_rate_are_dropped_and_counted(pipe):
+    """Guards against logs that take the processor under load."""
+    reader, writer = pipe
+    now_s = [0.0]
+    stream = logs.BoundedStream(
+        descriptor=writer, lines_per_s=10, seconds=lambda: now_s[0]
+    )
+    for number in range(25):
+        stream.write(f"line {number}\n")
+    now_s[0] = 1.0
+    stream.write("later\n")
+    found = os.read(reader, 10_000).decode().splitlines()
+    assert found[:10] == [f"line {number}" for number in range(10)]
+    assert json.loads(found[10]) == {"event": "lines dropped", "n": 15}
+    assert found[11:] == ["later"]
+
+
+def test_a_reader_that_stands_still_blocks_nothing(pipe):
+    """Guards against a process that waits for its log."""
+    reader, writer = pipe
+    stream = logs.BoundedStream(
+        descriptor=writer, lines_per_s=100_000, seconds=lambda: 0.0
+    )
+    for _ in range(5_000):
+        stream.write("x" * 99 + "\n")
+    assert stream.dropped > 0
+    text = os.read(reader, 1 << 20).decode()
+    assert set(text.splitlines()[:-1]) == {"x" * 99}
--- a/testing/wire/test_links.py
+++ b/testing/wire/test_links.py
@@ -22,6 +22,8 @@
 class Peer(links.LinkOwner):
     """A process that only has links, and keeps what they report."""
 
+    probing = links.Probing()
+
     def __init__(self, name, *, incarnation=1, port=None, version=None):
         self.node = members.NodeId(name, incarnation)
         port = port or ALLOCATOR.take()
@@ -40,6 +42,7 @@
             timer_service=timers.TimerService(clock=reactor.reactor),
             hello=hello,
             owner=self,
+            probing=self.probing,
         )
 
     def link_message(self, sender, message):
@@ -115,14 +118,14 @@
 @pytest.fixture
 def short_times(monkeypatch):
     """Shorten the times after which a link counts as silent."""
-    for name in (
-        "GREETING_TIMEOUT_S",
-        "PING_AFTER_S",
-        "PING_TIMEOUT_S",
-        "CONNECT_TIMEOUT_S",
-    ):
-        monkeypatch.setattr(links, name, 0.3)
-    monkeypatch.setattr(links, "CHECK_PERIOD_S", 0.05)
+    short = links.Probing(
+        connect_timeout_s=0.3,
+        greeting_timeout_s=0.3,
+        ping_after_s=0.3,
+        ping_timeout_s=0.3,
+        check_period_s=0.05,
+    )
+    monkeypatch.setattr(Peer, "probing", short)
 
 
 def cancel(number):
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -19,6 +19,9 @@
 `jasminewind minions`, `jasminewind workers` and the
 [decision log](decision-log.md) show the same facts.
 
+A process on the users' platform serves its metrics as text at `/metrics` of
+its `metrics_port`; there dots are underscores and counters end in `_total`.
+
 """
 ACTIONS = {
     "response.ratio": (
@@ -67,6 +70,27 @@
     "config.version": "Differs between processes for over 3 s: report it.",
     "table.calls": "Failures rise: see the runbook for a table outage.",
     "table.time": "Rises: see the runbook for a table outage.",
+    "job.time": "Rises: compare `task.queued` and `renewals.lost`.",
+    "jobs.answered": (
+        "Refusals rise: see `task.queued` and `agents`. Failures rise: see "
+        "`endpoints.ejections`; read a job with `jasminewind story`."
+    ),
+    "jobs.on_time": (
+        "Falls against `jobs.answered`: endpoints are slow or too few."
+    ),
+    "runs.ended": (
+        "`lapsed`: agents or endpoints die. `stalled`: an endpoint hangs. "
+        "`failed`: see `endpoints.ejections`."
+    ),
+    "orders.refused": (
+        "Rises: entries see free room too late; see `links.replaced`."
+    ),
+    "endpoints.ejections": "Rises: the log names the agent; drain it.",
+    "agents": "`usable=no` rises: endpoints or links are lost.",
+    "renewals.lost": (
+        "Rises on one agent: its endpoint leaves calls unanswered."
+    ),
+    "starts.unanswered": "Rises with `renewals.lost`: see there.",
     "reactor.lag": "p99 above 0.05 s: the process lacks processor time.",
 }
 
