Keep timers alive after an exception; bound Retry-After

Change: Retry-After is between 1 s and 10 s; the timer service logs an exception and calls its subscriber again.

--- a/src/_jasminewind/decisions/jobs/admission.py
+++ b/src/_jasminewind/decisions/jobs/admission.py
@@ -7,6 +7,9 @@
 
 # Shortest Retry-After; the header has whole seconds.
 MIN_RETRY_S = 1.0
+# Longest Retry-After. What waits now has ended by then or was refused, so
+# that a longer one would only keep callers away.
+MAX_RETRY_S = 10.0
 # Retry-After while this entry lacks a configuration or agents. Links and
 # reads are tried again well within it.
 STARTUP_RETRY_S = 1.0
@@ -50,5 +53,10 @@
             f"{demand.waiting_core_s:.0f} core-seconds of work wait here, "
             f"about {wait_s:.2f} s; the job would end after {limit_s:.2f} s"
         ),
-        retry_after_s=max(MIN_RETRY_S, excess_s),
+        retry_after_s=retry_after_s(excess_s),
     )
+
+
+def retry_after_s(wait_s: float) -> float:
+    """Return when to come back, for a wait that may have no end."""
+    return min(max(wait_s, MIN_RETRY_S), MAX_RETRY_S)
--- a/src/_jasminewind/decisions/jobs/owner.py
+++ b/src/_jasminewind/decisions/jobs/owner.py
@@ -467,7 +467,7 @@
         return specs.JobAnswer(
             state=specs.JobState.REFUSED,
             reason=f"no endpoint had room for it in {waited_s:.2f} s",
-            retry_after_s=max(admission.MIN_RETRY_S, demand.wait_s()),
+            retry_after_s=admission.retry_after_s(demand.wait_s()),
         )
 
     # Ends
--- a/src/_jasminewind/timers.py
+++ b/src/_jasminewind/timers.py
@@ -5,11 +5,14 @@
 import time
 import typing
 
+import structlog
 from twisted.internet import interfaces
 from twisted.internet import task
 
 from _jasminewind.decisions import core
 
+LOG = structlog.get_logger("timers")
+
 
 class DelayedCall(typing.Protocol):
     """A call that a clock will make, as twisted's ``IDelayedCall``."""
@@ -70,8 +73,19 @@
     def every(
         self, period_s: float, callback: Callback, *, immediately: bool = False
     ) -> Subscription:
-        """Call ``callback`` every ``period_s`` seconds."""
-        loop = task.LoopingCall(lambda: callback(self.now()))
+        """Call ``callback`` every ``period_s`` seconds.
+
+        It is called again after an exception, which is logged: a process
+        must not lose its timers to one bad event.
+        """
+
+        def call() -> None:
+            try:
+                callback(self.now())
+            except Exception:
+                LOG.exception("unexpected exception; please report it")
+
+        loop = task.LoopingCall(call)
         loop.clock = typing.cast(interfaces.IReactorTime, self.clock)
         loop.start(period_s, now=immediately)
         return Subscription(loop=loop)
--- a/testing/decisions/jobs/test_fleet.py
+++ b/testing/decisions/jobs/test_fleet.py
@@ -293,3 +293,16 @@
     took_s = [found[0][0] - silent_s for found in world.answers.values()]
     # Three lost renewals, the lease, and the task itself.
     assert max(took_s) < 0.7 + 1.02 + 1.0 + 0.3
+
+
+def test_a_refusal_without_any_agent_has_a_finite_time_to_return(make_world):
+    """Guards against a Retry-After that cannot be written.
+
+    The job arrives while the entry is new, and no agent ever comes.
+    """
+    world = make_world(agents=0)
+    world.submit("entry-0", worlds.job(1, work_s=0.1))
+    world.run(4.0)
+    answer = world.answers[worlds.job(1).job][0][2]
+    assert answer.state.value == "refused"
+    assert 1.0 <= answer.retry_after_s <= 10.0
