Refuse nothing for want of capacity while agents are still to be found

What cannot be served is refused by its time limit, as before. The test fails without the change (jobs refused at once).

--- a/src/_jasminewind/decisions/jobs/owner.py
+++ b/src/_jasminewind/decisions/jobs/owner.py
@@ -185,7 +185,8 @@
         """Return why a job cannot be taken, or nothing."""
         service = job.spec.queue.service
         demand = self.demand(service)
-        if not demand.cores and now.mono_s < self.settled_at_s:
+        if now.mono_s < self.settled_at_s:
+            # The agents known so far say little about the capacity.
             return None
         if not demand.cores:
             return specs.JobAnswer(
--- a/testing/decisions/jobs/test_fleet.py
+++ b/testing/decisions/jobs/test_fleet.py
@@ -306,3 +306,20 @@
     answer = world.answers[worlds.job(1).job][0][2]
     assert answer.state.value == "refused"
     assert 1.0 <= answer.retry_after_s <= 10.0
+
+
+def test_a_new_entry_refuses_nothing_for_the_first_agent_alone(make_world):
+    """Guards against refusals while most agents are still to be found.
+
+    Pattern: everything restarts under load, and agents appear one by one.
+    """
+    world = make_world(entries=1, agents=1)
+    world.add_entry("entry-0", incarnation=2)
+    for number in range(12):
+        world.submit("entry-0", worlds.job(number, count=4, work_s=0.3))
+    for number in range(1, 8):
+        world.add_agent(f"agent-{number}")
+        world.run(0.05)
+    world.run(3.0)
+    states = [found[0] for found in world.states().values()]
+    assert states == ["completed"] * 12
