--- a/testing/decisions/jobs/test_fleet.py
+++ b/testing/decisions/jobs/test_fleet.py
@@ -315,6 +315,7 @@
     """
     world = make_world(entries=1, agents=1)
     world.add_entry("entry-0", incarnation=2)
+    world.run(0.5)
     for number in range(12):
         world.submit("entry-0", worlds.job(number, count=4, work_s=0.3))
     for number in range(1, 8):
