--- a/src/_jasminewind/platform/http.py
+++ b/src/_jasminewind/platform/http.py
@@ -38,7 +38,6 @@
     """Ways in which a call can fail."""
 
     NOT_SENT = "NOT_SENT"
-    NO_LISTENER = "NO_LISTENER"
     REFUSED = "REFUSED"
     CONFLICT = "CONFLICT"
     FAILED = "FAILED"
@@ -49,16 +48,17 @@
 class CallError:
     """A failed call.
 
-    ``NOT_SENT``, ``NO_LISTENER`` (the port refuses connections),
-    ``REFUSED`` and ``CONFLICT`` prove that it had no effect;
+    ``NOT_SENT``, ``REFUSED`` and ``CONFLICT`` prove that it had no effect;
     ``FAILED`` means that the server answered with an error; ``UNKNOWN``
     means that the answer is lost. ``generation`` is as in
-    :class:`protocol.Refused`.
+    :class:`protocol.Refused`. ``has_no_listener`` tells that no process
+    listens at the server's port.
     """
 
     failure: CallFailure
     reason: str
     generation: int = 0
+    has_no_listener: bool = False
 
 
 Reply = typing.TypeVar("Reply")
@@ -274,10 +274,16 @@
         kind = CallFailure.UNKNOWN
         if reason.check(*NOT_SENT_ERRORS):
             kind = CallFailure.NOT_SENT
-        if reason.check(net_error.ConnectionRefusedError):
-            kind = CallFailure.NO_LISTENER
         text = f"{type(reason.value).__name__}: {reason.getErrorMessage()}"
-        return result.Err(CallError(failure=kind, reason=text[:300]))
+        return result.Err(
+            CallError(
+                failure=kind,
+                reason=text[:300],
+                has_no_listener=bool(
+                    reason.check(net_error.ConnectionRefusedError)
+                ),
+            )
+        )
 
     def close(self) -> defer.Deferred[None]:
         """Close idle connections."""
--- a/src/_jasminewind/platform/machine.py
+++ b/src/_jasminewind/platform/machine.py
@@ -121,10 +121,6 @@
     429: actions.CallOutcome.UNHEALTHY,
     503: actions.CallOutcome.UNHEALTHY,
 }
-FAILURE_OUTCOMES = {
-    http.CallFailure.NOT_SENT: actions.CallOutcome.UNHEALTHY,
-    http.CallFailure.NO_LISTENER: actions.CallOutcome.NO_LISTENER,
-}
 CONFLICT = 409
 
 
@@ -141,7 +137,11 @@
     """Translate the answer to a start or a stop."""
     if answer.is_err():
         error = answer.unwrap_err()
-        outcome = FAILURE_OUTCOMES.get(error.failure, actions.CallOutcome.LOST)
+        outcome = actions.CallOutcome.LOST
+        if error.has_no_listener:
+            outcome = actions.CallOutcome.NO_LISTENER
+        elif error.failure is http.CallFailure.NOT_SENT:
+            outcome = actions.CallOutcome.UNHEALTHY
         return actions.CallReply(outcome=outcome, reason=error.reason)
     found = answer.unwrap()
     body = bodies.decode(found.body or b"{}", bodies.AnswerBody)
--- a/src/_jasminewind/platform/minions.py
+++ b/src/_jasminewind/platform/minions.py
@@ -17,7 +17,6 @@
 CALL_GRACE_S = 0.5
 ENDPOINT_FAILURES = {
     http.CallFailure.NOT_SENT: errors.EndpointFailure.REFUSED,
-    http.CallFailure.NO_LISTENER: errors.EndpointFailure.REFUSED,
     http.CallFailure.REFUSED: errors.EndpointFailure.REFUSED,
     http.CallFailure.FAILED: errors.EndpointFailure.FAILED,
 }
--- a/src/_jasminewind/platform/tables.py
+++ b/src/_jasminewind/platform/tables.py
@@ -18,7 +18,6 @@
 TABLE_FAILURES = {
     http.CallFailure.CONFLICT: errors.TableFailure.CONFLICT,
     http.CallFailure.NOT_SENT: errors.TableFailure.NOT_SENT,
-    http.CallFailure.NO_LISTENER: errors.TableFailure.NOT_SENT,
     http.CallFailure.REFUSED: errors.TableFailure.NOT_SENT,
 }
 
