Draw two of the fastest agents and order at the one with more room

Change: of the agents within 25% of the fastest, two are drawn and the one with more room is chosen. Less work waits at an agent.

--- a/src/_jasminewind/decisions/jobs/placement.py
+++ b/src/_jasminewind/decisions/jobs/placement.py
@@ -11,6 +11,13 @@
 # Work away from its data, or spread over racks although it belongs on one,
 # takes this many times as long, unless the platform says otherwise.
 REMOTE_SLOWDOWN = 1.5
+# Agents at which a task takes up to this many times as long as at the fastest
+# count as equal: measured speeds of equal endpoints differ by as much, because
+# estimates are off by 40%.
+EQUAL_FACTOR = 1.25
+# Agents that are drawn and compared. Two choices come close to the least
+# loaded one without sending every entry to it (M. Mitzenmacher, 2001).
+CHOICES = 2
 
 
 class Placement(abc.ABC):
@@ -74,23 +81,25 @@
 
 
 class ExpectedEndPlacement(Placement):
-    """Chooses the agent where the task is expected to end first."""
+    """Chooses an agent where the task is expected to end early.
+
+    Entries see the same loads a moment late. If each chose the one best
+    agent, their orders would meet there while its equals stand idle.
+    """
 
     name = "expected_end"
 
     def choose(
         self, task: tracking.Task, found: list[agents.Agent], now_s: float
     ) -> agents.Agent:
-        """Return the agent with the earliest end, then the most room."""
+        """Return the one with more room of two of the fastest agents."""
         del now_s
-        return min(
-            found,
-            key=lambda agent: (
-                expected_run_s(task, agent),
-                -agent.free().cores,
-                self.rng.random(),
-            ),
-        )
+        expected = [(expected_run_s(task, agent), agent) for agent in found]
+        limit_s = EQUAL_FACTOR * min(run_s for run_s, _ in expected)
+        fastest = [agent for run_s, agent in expected if run_s <= limit_s]
+        if len(fastest) > CHOICES:
+            fastest = self.rng.sample(fastest, CHOICES)
+        return max(fastest, key=lambda agent: agent.free().cores)
 
 
 def expected_run_s(task: tracking.Task, agent: agents.Agent) -> float:
--- a/src/_jasminewind/decisions/jobs/room.py
+++ b/src/_jasminewind/decisions/jobs/room.py
@@ -8,9 +8,10 @@
 from _jasminewind.decisions.jobs import progress
 from _jasminewind.messages import runs
 
-# Work that may wait here, as a share of the endpoint's capacity. It covers
-# the round trip to the owner when a run ends.
-MAX_QUEUED_SHARE = 0.25
+# Work that may wait here, as a share of the endpoint's capacity: one task of
+# an eighth or less while the owner learns of an end. More would wait here
+# while other endpoints have room.
+MAX_QUEUED_SHARE = 0.125
 
 
 class RunState(enum.StrEnum):
--- a/src/_jasminewind/decisions/jobs/tracking.py
+++ b/src/_jasminewind/decisions/jobs/tracking.py
@@ -22,8 +22,12 @@
     at_s: float
 
     def counts(self) -> bool:
-        """Tell whether the task may be the cause, not its endpoint."""
-        return self.agent.ejected_until_s <= self.at_s
+        """Tell whether the task may be the cause, not its endpoint.
+
+        An endpoint that was found faulty afterwards was so before.
+        """
+        was_ejected = self.agent.ejected_until_s > self.at_s
+        return not was_ejected and not self.agent.ejections
 
 
 class Task:
--- /dev/null
+++ b/testing/decisions/jobs/loads.py
@@ -0,0 +1,115 @@
+"""Load patterns for a fleet of endpoints of unequal speed and size."""
+
+import dataclasses
+import math
+import random
+
+from _jasminewind.decisions.jobs import specs
+from testing.decisions.jobs import world as worlds
+
+# Three of four endpoints are fast and every third one is half as large
+# again, as the users describe theirs.
+SPEEDS = (0.55, 1.2, 1.2, 1.2)
+SIZES = (32.0, 32.0, 48.0)
+STRETCH = 1.6
+ALLOWANCE_S = 0.06
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """A kind of job: tasks, run time in seconds, share of the arrivals."""
+
+    name: str
+    count: int
+    work_s: float
+    share: float
+
+
+KINDS = (
+    Kind("stock-check", 8, 0.102, 0.244),
+    Kind("cut-list", 4, 1.52, 0.045),
+    Kind("store-quote", 2, 0.34, 0.711),
+)
+
+
+class Crest:
+    """Jobs of all kinds at a rate that rises and falls like a wave.
+
+    Estimates are off by up to 40% either way. A job is in time when it
+    completes within the time that its queue grants for its true run time.
+    """
+
+    def __init__(self, world, *, per_s, swing=0.55, period_s=15.0, seed=1):
+        self.world = world
+        self.rng = random.Random(seed)
+        self.per_s = per_s
+        self.swing = swing
+        self.period_s = period_s
+        self.arrived = {}
+
+    def run(self, for_s):
+        """Submit jobs for a while, then let the last ones end."""
+        end_s = self.world.now_s + for_s
+        while self.world.now_s < end_s:
+            angle = 2 * math.pi * self.world.now_s / self.period_s
+            rate = self.per_s * (1 + self.swing * math.sin(angle))
+            self.world.run(self.rng.expovariate(rate))
+            self.submit(self.draw())
+        self.world.run(10.0)
+
+    def draw(self):
+        """Return a kind by its share of the arrivals."""
+        weights = [kind.share for kind in KINDS]
+        return self.rng.choices(KINDS, weights)[0]
+
+    def submit(self, kind):
+        """Submit one job of a kind."""
+        number = len(self.arrived) + 1
+        work_s = kind.work_s * self.rng.uniform(0.6, 1.4)
+        queue = specs.Queue(
+            name=kind.name,
+            host="orders.example",
+            prefix=f"/{kind.name}/",
+            service="orders",
+            stretch=STRETCH,
+            allowance_s=ALLOWANCE_S,
+            attempt_limit=2,
+        )
+        estimate_s = work_s * self.rng.uniform(0.6, 1.4)
+        spec = worlds.job(
+            number, count=kind.count, work_s=estimate_s, cores=3.1, queue=queue
+        )
+        for index in range(kind.count):
+            self.world.work_s[f"{spec.job}.0.0.{index}"] = work_s
+        self.arrived[spec.job] = (kind, self.world.now_s, work_s)
+        entry = f"entry-{number % 3}"
+        self.world.submit(entry, spec)
+
+    def in_time(self):
+        """Return the share of each kind that completed in time."""
+        asked = dict.fromkeys((kind.name for kind in KINDS), 0)
+        good = dict.fromkeys(asked, 0)
+        for job_id, (kind, arrived_s, work_s) in self.arrived.items():
+            asked[kind.name] += 1
+            goal_s = STRETCH * work_s + ALLOWANCE_S
+            for at_s, _, answer in self.world.answers.get(job_id, []):
+                if answer.state is not specs.JobState.COMPLETED:
+                    continue
+                good[kind.name] += at_s - arrived_s <= goal_s
+        return {name: good[name] / max(asked[name], 1) for name in asked}
+
+
+def fleet(*, placement, agents=11, entries=3, seed=1):
+    """Return a settled world with unequal endpoints."""
+    world = worlds.World(entries=0, agents=0, seed=seed)
+    world.placement = placement
+    for number in range(entries):
+        world.add_entry(f"entry-{number}")
+    for number in range(agents):
+        world.add_agent(
+            f"agent-{number}",
+            cores=SIZES[number % len(SIZES)],
+            speed=SPEEDS[number % len(SPEEDS)],
+        )
+    world.run(1.0)
+    return world
