Bound the messages and searches of an entry in a larger fleet

Cause: on the grown sites an entry takes load reports from 56 or 77 agents, each up to 20 times a second, and searches all of them again for each of 16 waiting tasks whenever one arrives. In overload that is most of its work.

Change: an agent sends 60 load messages a second to all entries together. A round of placement looks once at which agents can be used, and does not search for a task that needs as much as one that found no room. What is free at an agent is kept, not computed for each comparison.

Tests: test_waiting_tasks_of_one_size_are_tried_once and test_load_messages_of_an_agent_do_not_grow_with_the_entries.

--- a/src/_jasminewind/decisions/jobs/agents.py
+++ b/src/_jasminewind/decisions/jobs/agents.py
@@ -48,6 +48,8 @@
         self.next_batch = 1
         self.batches: list[Batch] = []
         self.unreported = resources.NOTHING
+        # What is free, as far as this entry knows.
+        self.free = resources.NOTHING
         self.runs: dict[runs.RunKey, tracking.Run] = {}
         self.must_query = False
         self.failed_jobs: set[str] = set()
@@ -73,6 +75,7 @@
             self.unreported = resources.NOTHING
             for batch in self.batches:
                 self.unreported += batch.need
+        self.free = load.free - self.unreported
 
     def add(self, run: tracking.Run) -> None:
         """Count a run that is about to be ordered in the next batch."""
@@ -82,10 +85,7 @@
             Batch(number=self.next_batch, sent_s=run.sent_s, need=need)
         )
         self.unreported += need
-
-    def free(self) -> resources.Resources:
-        """Return what is free, as far as this entry knows."""
-        return self.load.free - self.unreported
+        self.free -= need
 
     def is_usable(self, now_s: float) -> bool:
         """Tell whether new runs may be ordered here."""
--- a/src/_jasminewind/decisions/jobs/keeper.py
+++ b/src/_jasminewind/decisions/jobs/keeper.py
@@ -40,6 +40,10 @@
 SLOWNESS_WEIGHT = 0.1
 # One run counts within this factor of the mean, as estimates are rough.
 MAX_SLOWNESS_SAMPLE = 4.0
+# Messages about its load that an agent sends to all owners together, in a
+# second, so that an entry takes as many from 60 agents as from 20. Beats and
+# ends of runs tell the load as well.
+LOAD_MESSAGES_PER_S = 60
 # Estimates below this are not used to learn, in seconds.
 MIN_ESTIMATE_S = 0.005
 
@@ -81,6 +85,7 @@
         self.unknown_stops: dict[runs.RunKey, float] = {}
         self.load_sequence = 0
         self.load_changed = False
+        self.next_load_s = 0.0
         self.slowness = 1.0
         self.learned = 0
         self.ends: dict[members.NodeId, list[runs.RunEnd]] = (
@@ -688,8 +693,10 @@
                 self.load(), self.endpoint, now.mono_s
             )
             self.load_changed = False
-        elif self.load_changed:
+        elif self.load_changed and now.mono_s >= self.next_load_s:
             self.load_changed = False
+            period_s = len(self.grants.owners) / LOAD_MESSAGES_PER_S
+            self.next_load_s = now.mono_s + period_s
             for node in self.grants.owners:
                 message = runs.LoadChanged(load=self.load(node))
                 self.actions.append(actions.send(node, message))
--- a/src/_jasminewind/decisions/jobs/owner.py
+++ b/src/_jasminewind/decisions/jobs/owner.py
@@ -257,14 +257,17 @@
 
     def place(self, now: core.Instant) -> None:
         """Order runs while agents have room."""
+        usable = [a for a in self.agents.values() if a.is_usable(now.mono_s)]
         passed_over: list[tracking.Task] = []
         while len(passed_over) < MAX_PASSED_OVER:
             task = self.backlog.pop(now.mono_s)
             if task is None:
                 break
-            found = self.places(task, now)
-            preferred = placement.preferred(task, found)
+            found = []
+            if not any(placement.needs_less(t, task) for t in passed_over):
+                found = placement.places(task, usable)
             if found:
+                preferred = placement.preferred(task, found)
                 agent = self.policy.choose(task, preferred, now.mono_s)
                 self.order(task, agent, now, len(found))
             else:
@@ -272,18 +275,6 @@
         for task in passed_over:
             self.backlog.push(task)
 
-    def places(
-        self, task: tracking.Task, now: core.Instant
-    ) -> list[agents.Agent]:
-        """Return the agents that have room for a task now."""
-        return [
-            agent
-            for agent in self.agents.values()
-            if agent.is_usable(now.mono_s)
-            and placement.fits(task, agent)
-            and placement.has_place(task, agent)
-        ]
-
     def order(
         self,
         task: tracking.Task,
@@ -320,7 +311,7 @@
             "place",
             job.spec.job,
             f"{self.policy.name} of {candidates}: slowness "
-            f"{agent.load.slowness}, {agent.free().cores:.1f} cores left, "
+            f"{agent.load.slowness}, {agent.free.cores:.1f} cores left, "
             f"grant {agent.grant} is {age_ms:.0f} ms old",
             task=str(key),
             choice=agent.node.name,
--- a/src/_jasminewind/decisions/jobs/placement.py
+++ b/src/_jasminewind/decisions/jobs/placement.py
@@ -99,7 +99,7 @@
         fastest = [agent for run_s, agent in expected if run_s <= limit_s]
         if len(fastest) > CHOICES:
             fastest = self.rng.sample(fastest, CHOICES)
-        return max(fastest, key=lambda agent: agent.free().cores)
+        return max(fastest, key=lambda agent: agent.free.cores)
 
 
 def expected_run_s(task: tracking.Task, agent: agents.Agent) -> float:
@@ -132,7 +132,7 @@
 def has_place(task: tracking.Task, agent: agents.Agent) -> bool:
     """Tell whether an agent has room for a task now."""
     shape = task.shape
-    if not shape.need.fits(agent.free()):
+    if not shape.need.fits(agent.free):
         return False
     if not shape.per_endpoint:
         return True
@@ -146,6 +146,30 @@
     return beside < shape.per_endpoint
 
 
+def places(
+    task: tracking.Task, usable: list[agents.Agent]
+) -> list[agents.Agent]:
+    """Return the agents of ``usable`` that have room for a task now."""
+    return [
+        agent
+        for agent in usable
+        if not agent.is_on_probation()
+        and has_place(task, agent)
+        and fits(task, agent)
+    ]
+
+
+def needs_less(task: tracking.Task, other: tracking.Task) -> bool:
+    """Tell whether ``task`` fits wherever ``other`` does."""
+    shape = task.shape
+    return (
+        not shape.label
+        and not shape.per_endpoint
+        and task.job.spec.queue.service == other.job.spec.queue.service
+        and shape.need.fits(other.shape.need)
+    )
+
+
 def preferred(
     task: tracking.Task, found: list[agents.Agent]
 ) -> list[agents.Agent]:
--- a/testing/decisions/jobs/loads.py
+++ b/testing/decisions/jobs/loads.py
@@ -46,6 +46,7 @@
         self.swing = swing
         self.period_s = period_s
         self.arrived = {}
+        self.entries = len(world.entries())
 
     def run(self, for_s):
         """Submit jobs for a while, then let the last ones end."""
@@ -82,7 +83,7 @@
         for index in range(kind.count):
             self.world.work_s[f"{spec.job}.0.0.{index}"] = work_s
         self.arrived[spec.job] = (kind, self.world.now_s, work_s)
-        entry = f"entry-{number % 3}"
+        entry = f"entry-{number % self.entries}"
         self.world.submit(entry, spec)
 
     def in_time(self):
--- a/testing/decisions/jobs/test_crests.py
+++ b/testing/decisions/jobs/test_crests.py
@@ -5,13 +5,19 @@
 them without asking each other.
 """
 
+import collections
 import statistics
 
 import pytest
 
 from _jasminewind import metrics
+from _jasminewind.decisions import core
+from _jasminewind.decisions.jobs import keeper
+from _jasminewind.decisions.jobs import placement
+from _jasminewind.messages import runs
 from testing.decisions import fakes
 from testing.decisions.jobs import loads
+from testing.decisions.jobs import world as worlds
 
 # Mean rate of jobs: about half of the capacity, so that crests use 0.8 of it.
 JOBS_PER_S = 60.0
@@ -49,3 +55,56 @@
         for name in ("expected_end", *BASELINES)
     }
     assert served["expected_end"] == max(served.values()), served
+
+
+def test_load_messages_of_an_agent_do_not_grow_with_the_entries():
+    """Guards against entries that are busy with reports of load.
+
+    Pattern: nine entries and many agents, all of them at work.
+    """
+    world = loads.fleet(placement="expected_end", agents=11, entries=9)
+    sent = collections.Counter()
+    send = world.send
+
+    def count(process, action):
+        sent[type(action.message), process.node.name] += 1
+        send(process, action)
+
+    world.HANDLERS = {
+        **world.HANDLERS,
+        core.Send: lambda world, process, action: count(process, action),
+    }
+    crest = loads.Crest(world, per_s=JOBS_PER_S)
+    began_s = world.now_s
+    crest.run(CREST_S)
+    for_s = world.now_s - began_s
+    rates = [
+        number / for_s
+        for (kind, _), number in sent.items()
+        if kind is runs.LoadChanged
+    ]
+    assert rates
+    assert max(rates) <= keeper.LOAD_MESSAGES_PER_S
+
+
+def test_waiting_tasks_of_one_size_are_tried_once(make_world, monkeypatch):
+    """Guards against entries that search a full fleet for each task.
+
+    Pattern: a crest above the capacity, with hundreds of tasks waiting.
+    """
+    world = make_world(entries=1, agents=4)
+    for number in range(20):
+        world.submit("entry-0", worlds.job(number, count=4, work_s=0.3))
+    world.run(0.01)
+    owner = world.processes["entry-0"].decision
+    assert owner.backlog.size > 20
+    tried = []
+    places = placement.places
+
+    def note(task, usable):
+        tried.append(task)
+        return places(task, usable)
+
+    monkeypatch.setattr(placement, "places", note)
+    owner.place(world.instant())
+    assert len(tried) == 1
