Name no process as successor that has left, and replace one without a pause

The owner then could not extend its interval until it replaced the successor 2 s later.

Ruled out: lost promises of processes that were there; a resubmission (the id was sent once).

Change: the view is shared at once when a member leaves. An owner that can accept nothing new replaces a successor without waiting for its turn.

Tests: test_a_member_that_leaves_is_no_successor_at_once and test_new_owner_replaces_a_successor_that_left_without_a_pause fail without it.

--- a/src/_jasminewind/decisions/tenures.py
+++ b/src/_jasminewind/decisions/tenures.py
@@ -139,7 +139,9 @@
         age_s = now.mono_s - holding.confirmed_s
         row = holding.row
         lost = self.lost_successors(holding, now)
-        if age_s >= REPLACE_EVERY_S:
+        # An owner that can accept nothing new does not wait for its turn.
+        is_behind = holding.ceiling_ms < now.wall_ms
+        if age_s >= REPLACE_EVERY_S or is_behind:
             chosen = self.chosen(holding, lost)
             if {s.node for s in chosen} != {s.node for s in row.successors}:
                 return self.write(holding, chosen, now)
--- a/src/_jasminewind/nodes/agent.py
+++ b/src/_jasminewind/nodes/agent.py
@@ -16,6 +16,7 @@
 from _jasminewind.decisions import keeper
 from _jasminewind.decisions import membership
 from _jasminewind.decisions import ownership
+from _jasminewind.messages import membership as membership_messages
 from _jasminewind.messages import tasks
 from _jasminewind.messages import work
 from _jasminewind.nodes import endpoint
@@ -137,6 +138,9 @@
                 1 for each in message.results if each.key not in known
             )
         super().link_message(sender, message)
+        if isinstance(message, membership_messages.Leave):
+            # A process that leaves must not be named as a successor.
+            self.share_changed_view()
 
     def explanation(self, request: work.ExplainRequest) -> work.ExplainReply:
         """Return the decisions that this process keeps of an id."""
@@ -232,6 +236,10 @@
         }
         for row in self.ownership.announced_rows():
             self.membership.take_row(row)
+        self.share_changed_view()
+
+    def share_changed_view(self) -> None:
+        """Tell every decision of the members if they have changed."""
         view = self.membership.view()
         if view != self.shared_view:
             self.shared_view = view
--- a/testing/decisions/test_ownership.py
+++ b/testing/decisions/test_ownership.py
@@ -313,3 +313,28 @@
     cell.advance(60.0)
     counts = [len(node.ownership.owned()) for node in cell.nodes]
     assert max(counts) - min(counts) <= 1
+
+
+def test_new_owner_replaces_a_successor_that_left_without_a_pause():
+    """Guards against a new owner that accepts nothing for 2 s.
+
+    Pattern: agents are replaced one after the other, and the successor
+    that a claim names leaves before it has promised anything.
+    """
+    cell = fakes.Cell(count=4, auto=False)
+    while not cell.owners():
+        if cell.mail:
+            cell.deliver(0)
+        else:
+            cell.advance(0.1, step_s=0.1)
+    (owner,) = cell.owners()
+    heir = owner.ownership.rows()[0].successors[0].node
+    leaver = cell.find(heir)
+    cell.crash(leaver)
+    # It has said that it leaves, so that nobody takes it for silent.
+    leaver.silent_since_s = cell.now_s - fakes.DEAD_S
+    for _ in range(5):
+        cell.advance(0.1, step_s=0.1)
+        cell.deliver_all()
+    named = [s.node for s in owner.ownership.rows()[0].successors]
+    assert heir not in named
--- a/testing/nodes/test_agent.py
+++ b/testing/nodes/test_agent.py
@@ -1,9 +1,12 @@
 """Tests of the agent: how its decisions are wired to each other."""
 
+import dataclasses
+
 from _jasminewind import members
 from _jasminewind import metrics
 from _jasminewind import resources
 from _jasminewind.decisions import core
+from _jasminewind.messages import membership
 from _jasminewind.messages import tasks
 from testing import starts
 from testing.decisions import fakes
@@ -108,3 +111,21 @@
     )
     agent.link_message(ENTRY, message)
     assert agent.meter.total(metrics.MESSAGES_WASTED) == 2
+
+
+def test_a_member_that_leaves_is_no_successor_at_once(agent, clock):
+    """Guards against a claim that names a process that has left.
+
+    Pattern: agents are replaced one after the other under load.
+    """
+    other = dataclasses.replace(
+        agent.membership.member,
+        node=members.NodeId("agent-2", 1),
+        address=members.Address("127.0.0.1", 7102),
+        state=members.State.SERVING,
+    )
+    agent.link_message(other.node, membership.Heartbeat(member=other))
+    clock.run(1.0)
+    assert agent.ownership.cell.is_able(other.node)
+    agent.link_message(other.node, membership.Leave(node=other.node))
+    assert not agent.ownership.cell.is_able(other.node)
