Add a randomized soak of real processes under faults from outside

The tests of the users' platform use one clock and one process, or no process.

Change: testing/soak/ starts three entries and several agents as processes on stand-ins of the store (one view for each process) and of endpoints, with a loopback proxy before each of them and before each entry's links. It kills, pauses and terminates processes, resets, cuts, silences, delays and refuses connections, lets the store refuse, lose answers and forget, and endpoints crash, fail and hang.

Its power is not shown yet.

--- a/testing/decisions/jobs/endpoint.py
+++ b/testing/decisions/jobs/endpoint.py
@@ -55,6 +55,7 @@
         self.peers = [self]
         self.broken = []
         self.starts = []
+        self.done = set()
 
     def clock_ms(self, now_s):
         """Return the endpoint's own clock."""
@@ -72,6 +73,8 @@
     def finish(self, run, outcome):
         """List the end of a run."""
         del self.running[run.key]
+        if outcome is runs.RunOutcome.DONE:
+            self.done.add(run.key.task)
         self.count += 1
         self.ended.append(
             actions.ListedEnd(number=self.count, key=run.key, outcome=outcome)
--- a/testing/platform/site.py
+++ b/testing/platform/site.py
@@ -147,11 +147,12 @@
                 endpoint=self.fake.record, fence=body["fencing-token"], key=key
             )
             return self.answer(request, self.fake.stop(call, now_s))
+        need, work_s = self.work(body)
         order = runs.RunOrder(
             key=key,
             specification=body["specification"],
-            need=resources.Resources(cores=1.0),
-            estimate_s=0.05,
+            need=need,
+            estimate_s=work_s,
             slack_s=0.0,
         )
         call = actions.CallStart(
@@ -160,7 +161,12 @@
             order=order,
             deadline_ms=body["deadline-ms"],
         )
-        return self.answer(request, self.fake.start(call, now_s, 0.05))
+        return self.answer(request, self.fake.start(call, now_s, work_s))
+
+    def work(self, body):
+        """Return what a task needs, and its run time in seconds."""
+        del body
+        return resources.Resources(cores=1.0), 0.05
 
     def answer(self, request, reply):
         """Send a reply to a start or a stop."""
--- a/testing/reactor.py
+++ b/testing/reactor.py
@@ -46,9 +46,8 @@
     The outcome of a Deferred or a coroutine is waited for. Raises what the
     function raises, and ``defer.TimeoutError`` after :data:`SAFETY_S`.
     """
-    ensure_running()
 
-    def call() -> typing.Any:
+    def limited() -> typing.Any:
         outcome = function(*arguments)
         if isinstance(outcome, collections.abc.Coroutine):
             outcome = defer.ensureDeferred(outcome)
@@ -56,7 +55,13 @@
             outcome.addTimeout(SAFETY_S, reactor)
         return outcome
 
-    return threads.blockingCallFromThread(reactor, call)
+    return call(limited)
+
+
+def call(function: collections.abc.Callable[[], typing.Any]) -> typing.Any:
+    """Call ``function`` in the reactor's thread, without a time limit."""
+    ensure_running()
+    return threads.blockingCallFromThread(reactor, function)
 
 
 async def until(condition: collections.abc.Callable[[], typing.Any]) -> None:
--- /dev/null
+++ b/testing/soak/callers.py
@@ -0,0 +1,131 @@
+"""Callers that submit jobs, and what they must never see."""
+
+import dataclasses
+import json
+
+from twisted.internet import defer
+from twisted.web import http_headers
+
+from testing import reactor as reactors
+
+# A caller sends a job again this long after its connection broke.
+RESEND_S = 1.3
+# How long a caller waits for one answer.
+PATIENCE_S = 6.0
+MAX_SENDS = 12
+LOST_STATUSES = (502, 504)
+REFUSED = 503
+
+
+@dataclasses.dataclass
+class Submission:
+    """One job, and the status and body of each answer; 0 means none."""
+
+    job: str
+    count: int
+    answers: list[tuple[int, bytes]] = dataclasses.field(default_factory=list)
+    is_settled: bool = False
+
+    def tasks(self):
+        """Return the names of the tasks."""
+        return {f"{self.job}.0.0.{index}" for index in range(self.count)}
+
+
+class Callers:
+    """Submits jobs at drawn entries and keeps the answers."""
+
+    def __init__(self, fleet, rng):
+        self.fleet = fleet
+        self.rng = rng
+        self.submissions = []
+        self.waiting = []
+
+    def submit(self):
+        """Submit a drawn job in the background."""
+        number = len(self.submissions) + 1
+        count = self.rng.randint(1, 5)
+        work_s = self.rng.choice((0.05, 0.1, 0.3, 1.2))
+        cores = self.rng.choice((1.0, 2.0, 3.0))
+        submission = Submission(job=f"{number:016x}", count=count)
+        self.submissions.append(submission)
+        body = {
+            "specification": json.dumps({"cores": cores, "work_s": work_s}),
+            "best-effort": True,
+            "steps": [
+                {
+                    "count": count,
+                    "cpu-millicores": int(cores * 1000),
+                    "memory-request-mb": 64,
+                    "estimated-ms": work_s * 1000,
+                }
+            ],
+        }
+        settling = defer.ensureDeferred(self.settle(submission, body))
+        self.waiting.append(settling)
+
+    async def settle(self, submission, body):
+        """Send a job until it is answered, at another entry each time."""
+        names = self.rng.sample(
+            self.fleet.entry_names, len(self.fleet.entry_names)
+        )
+        for attempt in range(MAX_SENDS):
+            name = names[attempt % len(names)]
+            status = await self.send(submission, body, name)
+            if status and status not in LOST_STATUSES:
+                submission.is_settled = True
+                return
+            await reactors.sleep(RESEND_S)
+
+    async def send(self, submission, body, name):
+        """Send a job to one entry; return the status, 0 for no answer."""
+        client = self.fleet.client(self.fleet.callers[name])
+        headers = http_headers.Headers(
+            {
+                "host": ["orders.example"],
+                "content-type": ["application/json"],
+                "x-deadline-milliseconds": [str(int(PATIENCE_S * 1000))],
+            }
+        )
+        found = await client.send(
+            b"POST",
+            f"/quotes/{submission.job}",
+            json.dumps(body).encode(),
+            timeout_s=PATIENCE_S,
+            headers=headers,
+        )
+        await client.close()
+        status, text = 0, b""
+        if found.is_ok():
+            status, text = found.unwrap().status, found.unwrap().body
+        submission.answers.append((status, text))
+        return status
+
+    def broken(self):
+        """Return everything that callers must never see."""
+        done = set()
+        started = set()
+        for each in self.fleet.endpoints:
+            done |= each.done
+            started |= {key.task for _, key in each.starts}
+        found = []
+        for submission in self.submissions:
+            found += faults(submission, done, started)
+        return found
+
+
+def faults(submission, done, started):
+    """Yield what is wrong with the answers to one job."""
+    name = f"job {submission.job}"
+    if not submission.is_settled:
+        yield f"{name}: no answer, {submission.answers}"
+    for status, body in submission.answers:
+        if status == 200:
+            state = json.loads(body)["state"]
+            missing = submission.tasks() - done
+            if state == "completed" and missing:
+                yield f"{name}: completed without {sorted(missing)}"
+        elif status not in (0, REFUSED, *LOST_STATUSES):
+            yield f"{name}: status {status}, {body!r}"
+    statuses = {status for status, _ in submission.answers}
+    if statuses == {REFUSED} and submission.tasks() & started:
+        yield f"{name}: refused as not run, but it ran"
--- /dev/null
+++ b/testing/soak/fleet.py
@@ -0,0 +1,318 @@
+"""Entries and agents as processes, behind proxies and on stand-ins."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+from twisted.internet import endpoints
+from twisted.web import server
+
+from _jasminewind import resources
+from _jasminewind.decisions.jobs import registry
+from _jasminewind.experiment import ports
+from _jasminewind.platform import http
+from testing import reactor as reactors
+from testing.decisions.jobs import endpoint as fake
+from testing.platform import site
+from testing.soak import proxy as proxies
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PROGRAM = ROOT / "src" / "jasminewindd.py"
+HOST = proxies.HOST
+CORES = 10.0
+BEAT_PERIOD_S = 0.5
+END_LIMIT_S = 10.0
+
+
+class StoreView(site.Store):
+    """The shared store as one process sees it.
+
+    ``loses`` carries writes out and does not answer them. Addresses of
+    entries are those of their proxies.
+    """
+
+    def __init__(self, reactor, shared, links):
+        super().__init__(reactor)
+        self.shared = shared
+        self.rows = shared.rows
+        self.links = links
+        self.loses = False
+
+    # The base class sets these when it is made.
+    version = property(lambda self: self.shared.version, lambda self, v: None)
+    waiting = property(lambda self: self.shared.waiting, lambda self, v: None)
+
+    def put(self, table, key, value):
+        """Write a row for everyone."""
+        self.shared.put(table, key, value)
+
+    def render_POST(self, request):  # noqa: N802
+        """Apply a transaction."""
+        body = super().render_POST(request)
+        return server.NOT_DONE_YET if self.loses else body
+
+    def row(self, table, key):
+        """Return a row, with the proxy's port for that of an entry."""
+        found = super().row(table, key)
+        if table != registry.TABLE or key not in self.links:
+            return found
+        version, value = self.rows[table, key]
+        fields = json.loads(value)
+        fields["port"] = self.links[key]
+        row = {(table, key): (version, json.dumps(fields).encode())}
+        kept, self.rows = self.rows, row
+        found = super().row(table, key)
+        self.rows = kept
+        return found
+
+
+class Machine(site.Machine):
+    """An endpoint whose tasks run as long as their specification says."""
+
+    def work(self, body):
+        """Return what a task needs, and its run time in seconds."""
+        fields = json.loads(body["specification"])
+        need = resources.Resources(cores=fields["cores"], memory_mb=64.0)
+        return need, fields["work_s"]
+
+
+class Process:
+    """One program of the system, started and stopped by its id."""
+
+    def __init__(self, folder, settings):
+        self.name = settings["name"]
+        self.settings = folder / f"{self.name}.json"
+        self.settings.write_text(json.dumps(settings))
+        self.log = (folder / f"{self.name}.log").open("ab")
+        self.running = None
+
+    def start(self):
+        """Start the program unless it runs."""
+        if self.is_running():
+            return
+        self.running = subprocess.Popen(
+            [sys.executable, str(PROGRAM)],
+            env={**os.environ, "JASMINEWIND_NODE_FILE": str(self.settings)},
+            cwd=ROOT,
+            stdout=self.log,
+            stderr=self.log,
+        )
+
+    def is_running(self):
+        """Tell whether the program runs or stands still."""
+        return self.running is not None and self.running.poll() is None
+
+    def send(self, number):
+        """Send a signal to the program that this object started."""
+        if self.is_running():
+            self.running.send_signal(number)
+
+    def end(self):
+        """End the program for good."""
+        self.send(signal.SIGKILL)
+        if self.running is not None:
+            self.running.wait(END_LIMIT_S)
+        self.log.close()
+
+
+class Fleet:
+    """Processes, their stand-ins and everything between them."""
+
+    def __init__(self, folder, *, entries=3, agents=4):
+        self.reactor = reactors.reactor
+        self.ports = ports.PortAllocator()
+        self.folder = folder
+        self.store = site.Store(self.reactor)
+        self.links = {}
+        self.proxies = {}
+        self.views = {}
+        self.machines = {}
+        self.lives = {}
+        self.controls = {}
+        self.processes = {}
+        self.callers = {}
+        self.readiness = {}
+        self.opened = []
+        self.sequence = 0
+        self.is_stopped = False
+        # Every life of every endpoint, for the check on second runs.
+        self.endpoints = []
+        self.entry_names = [f"entry-{i}" for i in range(entries)]
+        self.agent_names = [f"agent-{i}" for i in range(agents)]
+
+    # Start and end
+
+    async def start(self):
+        """Start everything and wait until the entries are ready."""
+        self.configure(1)
+        for name in self.entry_names:
+            await self.add_entry(name)
+        for name in self.agent_names:
+            await self.add_agent(name)
+        for process in self.processes.values():
+            process.start()
+        self.beat()
+        await self.until_ready()
+
+    async def listen(self, root):
+        """Serve a resource and return its port."""
+        port = self.ports.take()
+        endpoint = endpoints.TCP4ServerEndpoint(
+            self.reactor, port, interface=HOST, backlog=256
+        )
+        factory = server.Site(root)
+        factory.noisy = False
+        self.opened.append(await endpoint.listen(factory))
+        return port
+
+    async def proxy(self, name, server_port, *, port=0, rewrite=(b"", b"")):
+        """Put a proxy before a port; return the proxy's port."""
+        port = port or self.ports.take()
+        found = proxies.Proxy(self.reactor, port, server_port, rewrite=rewrite)
+        self.proxies[name] = found
+        await found.start()
+        return port
+
+    async def store_of(self, name):
+        """Return the settings of the store for one process."""
+        view = StoreView(self.reactor, self.store, self.links)
+        self.views[name] = view
+        port = await self.proxy(f"{name}-store", await self.listen(view))
+        return f"{HOST}:{port}"
+
+    async def add_entry(self, name):
+        """Prepare an entry."""
+        link_port, self.links[name] = self.ports.take(), self.ports.take()
+        address = (str(link_port).encode(), str(self.links[name]).encode())
+        await self.proxy(
+            f"{name}-links", link_port, port=self.links[name], rewrite=address
+        )
+        callers, ready = self.ports.take(), self.ports.take()
+        self.callers[name] = await self.proxy(f"{name}-callers", callers)
+        self.readiness[name] = ready
+        await self.add(
+            "entry",
+            name,
+            link_port,
+            callers=f"{HOST}:{callers}",
+            readiness=f"{HOST}:{ready}",
+        )
+
+    async def add_agent(self, name):
+        """Prepare an agent and its endpoint."""
+        self.machines[name] = Machine(self.reactor, "", born_s=0.0)
+        self.lives[name] = 0
+        self.renew_life(name)
+        port = await self.listen(self.machines[name])
+        await self.proxy(f"{name}-endpoint", port)
+        self.controls[name] = self.ports.take()
+        control = f"{HOST}:{self.controls[name]}"
+        await self.add("agent", name, self.ports.take(), control=control)
+
+    async def add(self, role, name, link_port, **fields):
+        """Prepare a process."""
+        settings = {
+            "role": role,
+            "name": name,
+            "region": "r",
+            "failure_domain": "a",
+            "host": HOST,
+            "link_port": link_port,
+            "store": await self.store_of(name),
+            **fields,
+        }
+        self.processes[name] = Process(self.folder, settings)
+
+    def stop(self):
+        """End every process and close every port."""
+        self.is_stopped = True
+        for process in self.processes.values():
+            process.end()
+        for proxy in self.proxies.values():
+            proxy.stop()
+        for port in self.opened:
+            port.stopListening()
+
+    # What the platform does
+
+    def configure(self, version):
+        """Write a configuration."""
+        config = {**site.CONFIGURATION, "version": version}
+        self.store.put("op", "config", json.dumps(config).encode())
+
+    def renew_life(self, name):
+        """Let an endpoint crash and begin a new life."""
+        machine = self.machines[name]
+        machine.fake.is_down = True
+        machine.fake.running.clear()
+        self.lives[name] += 1
+        machine.fake = fake.FakeEndpoint(
+            f"i-{name}-{self.lives[name]}",
+            cores=CORES,
+            born_s=self.reactor.seconds(),
+        )
+        machine.fake.peers = self.endpoints
+        self.endpoints.append(machine.fake)
+
+    def beat(self):
+        """Let every endpoint announce itself, again and again."""
+        if self.is_stopped:
+            return
+        for name in self.machines:
+            self.announce(name)
+        self.reactor.callLater(BEAT_PERIOD_S, self.beat)
+
+    def announce(self, name):
+        """Let one endpoint announce itself once."""
+        found = self.machines[name].fake
+        self.sequence += 1
+        body = {
+            **site.BEAT,
+            "address": f"{HOST}:{self.proxies[f'{name}-endpoint'].port}",
+            "born": found.record.born_ms,
+            "clock-ms": found.clock_ms(self.reactor.seconds()),
+            "sequence": self.sequence,
+        }
+        path = f"/-/Instances.Heartbeat/{found.record.name}"
+        client = self.client(self.controls[name])
+        sending = client.send(
+            b"POST", path, json.dumps(body).encode(), timeout_s=1.0
+        )
+        sending.addBoth(lambda _: client.close())
+
+    def client(self, port):
+        """Return a client of one port."""
+        return http.JsonClient(
+            reactor=self.reactor, host=HOST, port=port, connections=1
+        )
+
+    # Recovery
+
+    def heal(self):
+        """End every fault."""
+        for proxy in self.proxies.values():
+            proxy.heal()
+        for view in self.views.values():
+            view.status = 200
+            view.loses = False
+        for machine in self.machines.values():
+            machine.fake.is_faulty = machine.fake.stands_still = False
+        for process in self.processes.values():
+            process.send(signal.SIGCONT)
+            process.start()
+
+    async def until_ready(self):
+        """Wait until every entry says that it is ready."""
+        for name in self.entry_names:
+            while not await self.is_ready(name):
+                await reactors.sleep(0.05)
+
+    async def is_ready(self, name):
+        """Ask an entry whether it takes connections."""
+        client = self.client(self.readiness[name])
+        found = await client.send(b"GET", "/-/readiness", timeout_s=1.0)
+        await client.close()
+        return found.is_ok() and found.unwrap().status == 200
