Keep what an agent has learned of its endpoint's speed over a restart

Cause: a new process of an agent takes its endpoint for one of usual speed.

Change: the row of an agent in the store holds the mean of run time divided by estimate. It is written when it has moved by a fifth, at most every 2 s.

Test: test_a_restarted_agent_still_knows_a_slow_endpoint fails without it.

--- a/src/_jasminewind/decisions/jobs/keeper.py
+++ b/src/_jasminewind/decisions/jobs/keeper.py
@@ -38,6 +38,8 @@
 # Weight of one run in the mean of run time divided by estimate; the first
 # runs weigh more, beside the one that the initial value stands for.
 SLOWNESS_WEIGHT = 0.1
+# Runs from which on the mean is worth keeping for the next process.
+ENOUGH_LEARNED = 10
 # One run counts within this factor of the mean, as estimates are rough.
 MAX_SLOWNESS_SAMPLE = 4.0
 # Messages about its load that an agent sends to all owners together, in a
@@ -671,6 +673,17 @@
         weight = max(SLOWNESS_WEIGHT, 1.0 / (self.learned + 1))
         self.slowness += weight * (sample - self.slowness)
 
+    def recall_slowness(self, slowness: float) -> None:
+        """Go on with the mean that an earlier process has learned."""
+        self.slowness = slowness
+        self.learned = ENOUGH_LEARNED
+
+    def learned_slowness(self) -> float | None:
+        """Return the mean, or nothing while it stands on too few runs."""
+        if self.learned < ENOUGH_LEARNED:
+            return None
+        return round(self.slowness, 3)
+
     # Time and load
 
     def on_tick(self, now: core.Instant) -> core.Actions:
--- a/src/_jasminewind/decisions/jobs/registry.py
+++ b/src/_jasminewind/decisions/jobs/registry.py
@@ -15,11 +15,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Known:
-    """The endpoint beside an agent, as it last announced itself."""
+    """The endpoint beside an agent, as it last announced itself.
+
+    ``slowness`` is what the agent has learned of its run times, divided by
+    the estimates.
+    """
 
     record: runs.EndpointRecord
     address: members.Address
     is_draining: bool = False
+    slowness: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/_jasminewind/nodes/job_agent.py
+++ b/src/_jasminewind/nodes/job_agent.py
@@ -54,6 +54,13 @@
         """Close idle connections."""
 
 
+# How often the learned slowness is compared with the stored one, and the
+# change from which on it is stored: single estimates are off by 40%, so that
+# the mean of ten or more moves by less while nothing changes.
+SLOWNESS_CHECK_S = 2.0
+SLOWNESS_CHANGE = 0.2
+
+
 Connect = collections.abc.Callable[[members.Address], EndpointCalls]
 OnEndpoint = collections.abc.Callable[[registry.Known], None]
 
@@ -93,6 +100,9 @@
         self.handlers[actions.CallStop] = self.stop_run
         self.handlers[actions.CallRenew] = self.renew
         self.add(self.keeper)
+        self.ticks.append(
+            timer_service.every(SLOWNESS_CHECK_S, self.remember_slowness)
+        )
 
     def set_members(self, rows: dict[str, bytes]) -> None:
         """Take the rows of the processes of the system."""
@@ -110,6 +120,7 @@
         self.known = known
         self.reach(known.address)
         now = self.timers.now()
+        self.keeper.recall_slowness(known.slowness)
         self.perform(self.keeper, self.keeper.recall(known.record, now))
 
     def reach(self, address: members.Address) -> None:
@@ -127,11 +138,23 @@
             record=announcement.record,
             address=announcement.address,
             is_draining=announcement.is_draining,
+            slowness=self.known.slowness if self.known else 1.0,
         )
         if known != self.known:
             self.known = known
             self.on_endpoint(known)
 
+    def remember_slowness(self, now: core.Instant) -> None:
+        """Have the learned slowness stored when it has changed."""
+        del now
+        known = self.known
+        learned = self.keeper.learned_slowness()
+        if known is None or learned is None:
+            return
+        if abs(learned / known.slowness - 1.0) > SLOWNESS_CHANGE:
+            self.known = dataclasses.replace(known, slowness=learned)
+            self.on_endpoint(self.known)
+
     # What the endpoint says
 
     def endpoint_announced(self, announcement: Announcement) -> None:
--- a/testing/platform/test_site.py
+++ b/testing/platform/test_site.py
@@ -332,6 +332,30 @@
     reactor.run(restart)
 
 
+def test_a_restarted_agent_still_knows_a_slow_endpoint(running):
+    """Guards against work for slow endpoints after each restart.
+
+    Pattern: everything restarts under load.
+    """
+
+    async def restart():
+        await running.ready()
+        keeper = running.daemons[1].node.keeper
+        keeper.slowness, keeper.learned = 1.8, 20
+        await reactor.until(
+            lambda: b"1.8" in running.store.rows["members", "agent-1"][1]
+        )
+        running.daemons[1].end()
+        await reactor.until(lambda: "agent-1" in running.ended)
+        await reactor.sleep(0.1)
+        running.start_agent()
+        keeper = running.daemons[-1].node.keeper
+        await reactor.until(keeper.is_accepting)
+        return keeper.slowness
+
+    assert reactor.run(restart) == 1.8
+
+
 def test_a_draining_endpoint_gets_no_new_work(running):
     """Guards against starts on an endpoint that is about to leave."""
 
