--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # Programs use the code of this tree, also when several trees share a VENV.
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: demo test lint format model bench slopes scale schema fuzz
+.PHONY: demo test lint format model bench slopes scale schema fuzz soak
 
 $(STAMP):
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -38,6 +38,9 @@
 fuzz: $(STAMP)
 	$(BIN)/python -m pytest testing --fuzz-examples=2000 -k fuzz
 
+soak: $(STAMP)
+	$(BIN)/python -m testing.soak --count 10
+
 bench: $(STAMP)
 	$(BIN)/python -m bench.run
 
--- a/testing/soak/__main__.py
+++ b/testing/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import random
+import signal
 import sys
 import tempfile
 
@@ -12,12 +13,14 @@
 from testing.soak import soak
 
 
-def main(*, seeds="", count=10, seconds=15.0, agents=4, keep=""):
+def main(*, seeds="", count=10, seconds=15.0, agents=6, keep=""):
     """Play soaks one after the other; exit 1 if any broke a promise.
 
     ``seeds`` is a range such as 1-50; without it, ``count`` fresh ones are
     drawn and printed. ``keep`` is a folder for the logs of failed soaks.
     """
+    # So that the processes of an interrupted soak are ended.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))
     first, _, last = str(seeds).partition("-")
     chosen = list(range(int(first), int(last or first) + 1)) if seeds else []
     if not chosen:
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -13,6 +13,8 @@
 # How long a caller waits for one answer.
 PATIENCE_S = 6.0
 MAX_SENDS = 12
+# Long tasks are still at work when the job is sent again.
+RUN_TIMES_S = (0.05, 0.1, 0.3, 1.2, 3.0, 3.0)
 LOST_STATUSES = (502, 504)
 REFUSED = 503
 
@@ -44,7 +46,7 @@
         """Submit a drawn job in the background."""
         number = len(self.submissions) + 1
         count = self.rng.randint(1, 5)
-        work_s = self.rng.choice((0.05, 0.1, 0.3, 1.2))
+        work_s = self.rng.choice(RUN_TIMES_S)
         cores = self.rng.choice((1.0, 2.0, 3.0))
         submission = Submission(job=f"{number:016x}", count=count)
         self.submissions.append(submission)
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -17,7 +17,8 @@
         self.injected = []
         self.kinds = (
             self.kill,
-            self.kill,
+            self.kill_entry,
+            self.kill_entry,
             self.terminate,
             self.pause,
             self.pause,
@@ -75,9 +76,14 @@
 
     # Processes
 
-    def kill(self):
+    def kill_entry(self):
+        """Kill an entry, whose callers then go to another one."""
+        name = self.rng.choice(self.fleet.entry_names)
+        return self.kill(self.fleet.processes[name])
+
+    def kill(self, process=None):
         """Kill a process and start it again."""
-        process = self.process()
+        process = process or self.process()
         process.send(signal.SIGKILL)
         return f"kill {process.name} for {self.later(process.start):.2f} s"
 
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -1,5 +1,6 @@
 """Entries and agents as processes, behind proxies and on stand-ins."""
 
+import atexit
 import json
 import os
 import pathlib
@@ -88,6 +89,8 @@
         self.settings.write_text(json.dumps(settings))
         self.log = (folder / f"{self.name}.log").open("ab")
         self.running = None
+        # A soak that is interrupted leaves no process behind.
+        atexit.register(self.end)
 
     def start(self):
         """Start the program unless it runs."""
@@ -112,6 +115,7 @@
 
     def end(self):
         """End the program for good."""
+        atexit.unregister(self.end)
         self.send(signal.SIGKILL)
         if self.running is not None:
             self.running.wait(END_LIMIT_S)
@@ -121,7 +125,7 @@
 class Fleet:
     """Processes, their stand-ins and everything between them."""
 
-    def __init__(self, folder, *, entries=3, agents=4):
+    def __init__(self, folder, *, entries=3, agents=6):
         self.reactor = reactors.reactor
         self.ports = ports.PortAllocator()
         self.folder = folder
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -10,9 +10,10 @@
 from testing.soak import faults
 from testing.soak import fleet as fleets
 
-# Jobs and faults come at random times with these mean pauses.
-JOB_PAUSE_S = 0.08
-FAULT_PAUSE_S = 0.5
+# Jobs and faults come at random times with these mean pauses. The jobs need
+# about half of the capacity, so that long ones are seldom refused.
+JOB_PAUSE_S = 0.25
+FAULT_PAUSE_S = 0.4
 # Entries are ready and serve again this long after the last fault; the
 # users' bound for recovery is 12 s.
 RECOVERY_S = 12.0
@@ -43,7 +44,7 @@
     return True
 
 
-async def play(seed, *, for_s, folder, agents=4):
+async def play(seed, *, for_s, folder, agents=6):
     """Run one soak and return its verdict."""
     rng = random.Random(seed)
     fleet = fleets.Fleet(folder, agents=agents)
