--- a/testing/platform/test_site.py
+++ b/testing/platform/test_site.py
@@ -98,6 +98,16 @@
         self.daemons.append(started)
         started.start()
 
+    async def restart_agent(self):
+        """End the agent and start it again; return its new keeper."""
+        self.daemons[1].end()
+        await reactor.until(lambda: "agent-1" in self.ended)
+        await reactor.sleep(0.1)
+        self.start_agent()
+        keeper = self.daemons[-1].node.keeper
+        await reactor.until(keeper.is_accepting)
+        return keeper
+
     def stop(self):
         """Stop everything."""
         for started in self.daemons:
@@ -322,12 +332,7 @@
         await reactor.until(
             lambda: ("members", "agent-1") in running.store.rows
         )
-        running.daemons[1].end()
-        await reactor.until(lambda: "agent-1" in running.ended)
-        await reactor.sleep(0.1)
-        running.start_agent()
-        keeper = running.daemons[-1].node.keeper
-        await reactor.until(keeper.is_accepting)
+        await running.restart_agent()
 
     reactor.run(restart)
 
@@ -345,12 +350,7 @@
         await reactor.until(
             lambda: b"1.8" in running.store.rows["members", "agent-1"][1]
         )
-        running.daemons[1].end()
-        await reactor.until(lambda: "agent-1" in running.ended)
-        await reactor.sleep(0.1)
-        running.start_agent()
-        keeper = running.daemons[-1].node.keeper
-        await reactor.until(keeper.is_accepting)
+        keeper = await running.restart_agent()
         return keeper.slowness
 
     assert reactor.run(restart) == 1.8
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -210,16 +210,16 @@
 
     def spoil_endpoint(self):
         """Let an endpoint fail all that it starts."""
-        name, machine = self.machine()
-        life = machine.fake
-        life.is_faulty = True
-        for_s = self.later(lambda: setattr(life, "is_faulty", False))
-        return f"the endpoint of {name} fails for {for_s:.2f} s"
+        return self.damage("is_faulty")
 
     def freeze_endpoint(self):
         """Let new tasks on an endpoint stand still."""
+        return self.damage("stands_still")
+
+    def damage(self, fault):
+        """Set a fault of one life of an endpoint for a while."""
         name, machine = self.machine()
         life = machine.fake
-        life.stands_still = True
-        for_s = self.later(lambda: setattr(life, "stands_still", False))
-        return f"tasks at {name} stand still for {for_s:.2f} s"
+        setattr(life, fault, True)
+        for_s = self.later(lambda: setattr(life, fault, False))
+        return f"{fault} at the endpoint of {name} for {for_s:.2f} s"
