End the runs of a dead entry before its callers return

Its entry was killed at 28.77; its agent held the grant for 0.8 s more, and the lease of the endpoint lasted up to 1 s after the last renewal; the caller submitted the job to another entry 1.3 s after its connection broke. Grant and lease together outlive that pause when the agent dies, or is cut off from its endpoint, just before it stops the run.

Tests: test_a_run_ends_in_time_when_its_agent_dies_after_its_entry fails for 0.4 s without the change; test_grant_and_lease_end_before_callers_return ties the limits together.

--- a/src/_jasminewind/decisions/jobs/grants.py
+++ b/src/_jasminewind/decisions/jobs/grants.py
@@ -7,8 +7,8 @@
 from _jasminewind.decisions.jobs import leases
 from _jasminewind.messages import runs
 
-# Time between beats to each entry. A grant (0.8 s) outlives three lost
-# beats.
+# Time between beats to each entry. A grant outlives two lost beats and the
+# delay of the next one.
 BEAT_PERIOD_S = 0.2
 
 
--- a/src/_jasminewind/decisions/jobs/keeper.py
+++ b/src/_jasminewind/decisions/jobs/keeper.py
@@ -18,9 +18,9 @@
 STOP_RETRY_S = 0.3
 # The endpoint answers a renewal after this time when nothing ends. While it
 # runs something, an answer that is lost must not hide its ends for long;
-# otherwise the lease of 1 s need only be renewed in time.
+# otherwise the lease of a run that starts meanwhile is renewed in time.
 RENEW_WAIT_S = 0.1
-IDLE_RENEW_WAIT_S = 0.4
+IDLE_RENEW_WAIT_S = 0.25
 # Renewals in a row without an answer before the endpoint counts as out of
 # reach; single answers are lost while others arrive.
 LOST_RENEWALS = 3
@@ -42,8 +42,9 @@
 ENOUGH_LEARNED = 10
 # One run counts within this factor of the mean, as estimates are rough.
 MAX_SLOWNESS_SAMPLE = 4.0
-# Messages about its load that an agent sends to all owners together, in a
-# second, so that an entry takes as many from 60 agents as from 20. Beats and
+# Messages about its load that an agent sends in a second to all entries
+# together: with three entries one in each tick, with more the less to each, so
+# that a fleet that grows in both does not send more to an entry. Beats and
 # ends of runs tell the load as well.
 LOAD_MESSAGES_PER_S = 60
 # Estimates below this are not used to learn, in seconds.
--- a/src/_jasminewind/decisions/jobs/leases.py
+++ b/src/_jasminewind/decisions/jobs/leases.py
@@ -7,12 +7,17 @@
 
 import dataclasses
 
+# Time after which callers send a job again whose connection broke; the
+# platform's figure (``resend-ms``). When an entry dies, every run of it must
+# have ended by then, also if an agent dies just before it would stop it:
+# grant, lease with drift, and one tick of the agent together stay below.
+RESUBMISSION_S = 1.3
 # An agent drops the work of an owner that has confirmed none of the beats
-# of this last time. Below the time after which callers send a job again,
-# which the platform sets to 1.3 s, less the time to stop a run.
-OWNER_GRANT_S = 0.8
-# Lease that an endpoint grants to what it runs; it shortens longer ones.
-ENDPOINT_LEASE_S = 1.0
+# of this last time. Two lost beats of 0.2 s are allowed for.
+OWNER_GRANT_S = 0.7
+# Lease that an agent asks for what its endpoint runs; the endpoint shortens
+# one of more than 1 s.
+ENDPOINT_LEASE_S = 0.5
 # An endpoint's clock may run this much slower than ours.
 CLOCK_DRIFT = 0.02
 # Time for a stop to take effect and for messages under way.
--- a/testing/decisions/jobs/test_fleet.py
+++ b/testing/decisions/jobs/test_fleet.py
@@ -5,6 +5,8 @@
 import pytest
 
 from _jasminewind.decisions.jobs import actions
+from _jasminewind.decisions.jobs import keeper as keepers
+from _jasminewind.decisions.jobs import leases
 from testing.decisions.jobs import world as worlds
 
 
@@ -59,6 +61,28 @@
     assert not world.broken()
 
 
+@pytest.mark.parametrize("after_s", [0.0, 0.2, 0.4, 0.6, 0.75])
+def test_a_run_ends_in_time_when_its_agent_dies_after_its_entry(
+    world, after_s
+):
+    """Guards against a lease that outlives the caller's pause.
+
+    The entry dies, and an agent that still holds its grant dies a moment
+    later, so that only the endpoint's lease ends the run.
+    """
+    world.submit("entry-0", worlds.job(1, count=1, work_s=4.0))
+    world.run(0.5)
+    (agent,) = [n for n, e in world.endpoints.items() if e.running]
+    world.kill("entry-0")
+    world.run(after_s)
+    world.kill(agent)
+    world.run(1.3 - after_s)
+    world.submit("entry-1", worlds.job(1, count=1, work_s=4.0))
+    world.run(6.0)
+    assert not world.broken()
+    assert world.states() == {1: ["completed"]}
+
+
 def test_a_job_whose_caller_was_cut_off_can_be_submitted_again(world):
     """Guards against two runs of one task after a connection reset."""
     world.submit("entry-0", worlds.job(1, work_s=4.0))
@@ -359,3 +383,10 @@
     world.run(8.0)
     assert not world.broken()
     assert all(s == ["completed"] for s in world.states().values())
+
+
+def test_grant_and_lease_end_before_callers_return():
+    """Guards against limits that no longer fit each other."""
+    lease_s = leases.ENDPOINT_LEASE_S * (1 + leases.CLOCK_DRIFT)
+    together_s = leases.OWNER_GRANT_S + keepers.Keeper.TICK_S + lease_s
+    assert together_s < leases.RESUBMISSION_S
