--- a/src/_jasminewind/decisions/jobs/keeper.py
+++ b/src/_jasminewind/decisions/jobs/keeper.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 import typing
 
 from _jasminewind import members
@@ -16,6 +17,10 @@
 
 # An unanswered stop is sent again after this time.
 STOP_RETRY_S = 0.3
+# A caller that went away may submit its job elsewhere after 1.3 s. While its
+# stop is unanswered the lease is renewed for no longer than this, so that the
+# run lapses (0.5 s) before.
+RENEW_DESPITE_STOP_S = 0.6
 # The endpoint answers a renewal after this time when nothing ends. While it
 # runs something, an answer that is lost must not hide its ends for long;
 # otherwise the lease of a run that starts meanwhile is renewed in time.
@@ -262,7 +267,12 @@
             for key in message.keys:
                 run = self.room.runs.get(key)
                 if run is not None and run.owner == sender:
-                    self.stop(run, runs.RunOutcome.STOPPED, now)
+                    self.stop(
+                        run,
+                        runs.RunOutcome.STOPPED,
+                        now,
+                        renew_for_s=RENEW_DESPITE_STOP_S,
+                    )
         elif isinstance(message, runs.QueryRuns):
             self.on_query(sender, message, now)
         return self.flush()
@@ -349,7 +359,7 @@
                 f"{len(orphans)} runs are stopped",
             )
             for run in orphans:
-                self.stop(run, runs.RunOutcome.STOPPED, now)
+                self.stop(run, runs.RunOutcome.STOPPED, now, renew_for_s=0.0)
 
     # Starts and stops
 
@@ -357,6 +367,9 @@
         """Start what waits while it fits."""
         if self.endpoint is None or not self.is_accepting():
             return
+        if not self.may_extend(now):
+            # The deadline of a start is a renewal as well.
+            return
         while run := self.room.next_to_start():
             run.deadline_ms = self.lease.next_deadline_ms(now.mono_s)
             self.actions.append(
@@ -411,8 +424,15 @@
         run: room.Run,
         outcome: runs.RunOutcome,
         now: core.Instant,
+        *,
+        renew_for_s: float = math.inf,
     ) -> None:
-        """Stop a run; one that still waits ends at once."""
+        """Stop a run; one that still waits ends at once.
+
+        Until the stop is answered, the lease of the endpoint is renewed for
+        ``renew_for_s`` at most.
+        """
+        run.renew_until_s = min(run.renew_until_s, now.mono_s + renew_for_s)
         if run.state is room.RunState.QUEUED:
             outcome = runs.RunOutcome.NOT_STARTED
             self.end(run, outcome, now, reason="stopped in the queue")
@@ -480,7 +500,7 @@
             # Renewals without an answer may still take effect. Once the
             # endpoint is out of reach they only read, so that the lease
             # certainly lapses and its work can go elsewhere.
-            if self.is_reachable:
+            if self.is_reachable and self.may_extend(now):
                 deadline_ms = self.lease.next_deadline_ms(now.mono_s)
             is_idle = self.is_idle()
             wait_s = IDLE_RENEW_WAIT_S if is_idle else RENEW_WAIT_S
@@ -494,6 +514,13 @@
             )
         )
 
+    def may_extend(self, now: core.Instant) -> bool:
+        """Tell whether no run has to lapse whose stop is unanswered."""
+        return all(
+            run.stop_answered_s or now.mono_s < run.renew_until_s
+            for run in self.room.runs.values()
+        )
+
     def on_renewed(
         self,
         call: actions.CallRenew,
--- a/src/_jasminewind/decisions/jobs/room.py
+++ b/src/_jasminewind/decisions/jobs/room.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 from _jasminewind import members
 from _jasminewind import resources
@@ -31,7 +32,8 @@
     """A run that was ordered here and has not ended.
 
     ``deadline_ms`` is the latest time on the endpoint's clock at which it
-    can still begin. Times are monotonic seconds, 0 for not yet.
+    can still begin. Times are monotonic seconds, 0 for not yet. The lease
+    is not renewed after ``renew_until_s`` while the stop is unanswered.
     """
 
     order: runs.RunOrder
@@ -44,6 +46,7 @@
     stop_outcome: runs.RunOutcome = runs.RunOutcome.STOPPED
     stop_sent_s: float = 0.0
     stop_answered_s: float = 0.0
+    renew_until_s: float = math.inf
     seen: progress.Progress = dataclasses.field(
         default_factory=progress.Progress
     )
--- a/testing/decisions/jobs/test_fleet.py
+++ b/testing/decisions/jobs/test_fleet.py
@@ -83,6 +83,29 @@
     assert world.states() == {1: ["completed"]}
 
 
+@pytest.mark.parametrize("dies", [True, False])
+def test_a_run_ends_in_time_when_its_stop_is_lost(world, dies):
+    """Guards against renewals that keep a run alive that should end.
+
+    The entry dies or its caller goes away, and no stop reaches the endpoint
+    while renewals and the starts of other jobs do.
+    """
+    world.submit("entry-0", worlds.job(1, count=1, work_s=4.0))
+    world.run(0.5)
+    world.lose_stops = 1.0
+    if dies:
+        world.kill("entry-0")
+    else:
+        world.cancel("entry-0", worlds.job(1).job)
+    for number in range(2, 15):
+        world.submit("entry-1", worlds.job(number, count=3, work_s=0.1))
+        world.run(0.1)
+    world.submit("entry-1", worlds.job(1, count=1, work_s=4.0))
+    world.run(6.0)
+    assert not world.broken()
+    assert world.states()[1][-1] == "completed"
+
+
 def test_a_job_whose_caller_was_cut_off_can_be_submitted_again(world):
     """Guards against two runs of one task after a connection reset."""
     world.submit("entry-0", worlds.job(1, work_s=4.0))
--- a/testing/decisions/jobs/world.py
+++ b/testing/decisions/jobs/world.py
@@ -62,7 +62,7 @@
 
     ``cut`` holds pairs of process names between which messages are lost
     (from, to). ``lose_starts`` loses the answers to starts, which then
-    take effect after ``late_s``.
+    take effect after ``late_s``. Stops that are lost have no effect.
     """
 
     def __init__(self, *, entries=2, agents=3, seed=0, cores=10.0, speeds=()):
@@ -76,6 +76,7 @@
         self.answers = {}
         self.lose_starts = 0.0
         self.lose_renewals = 0.0
+        self.lose_stops = 0.0
         self.late_s = 0.0
         self.work_s = {}
         self.placement = "expected_end"
@@ -249,7 +250,8 @@
         """Stop a run on the endpoint."""
         beside = self.beside(process)
         reply = actions.CallReply(outcome=actions.CallOutcome.LOST)
-        if not beside.is_down:
+        is_lost = self.rng.random() < self.lose_stops
+        if not beside.is_down and not is_lost:
             reply = beside.stop(action, self.now_s)
 
         def event():
--- a/testing/fleet/test_processes.py
+++ b/testing/fleet/test_processes.py
@@ -19,10 +19,14 @@
 
 
 def long_work(client, shards):
-    """Return a job and a request on each shard.
+    """Return a job and a request on each shard, once they are served.
 
-    An entry looks for the owner of an id for 15 s or until the deadline.
+    An entry looks for the owner of an id for 15 s or until the deadline. A
+    shard that was taken over in the test before begins at a time up to 2 s
+    ahead; earlier ids are answered as perhaps run.
     """
+    for shard in shards:
+        client.complete_one(shard=shard)
     kind = {"run_s": 1.0, "deadline_s": SEARCH_S}
     works = []
     for shard in shards:
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -6,19 +6,22 @@
 from testing import reactor as reactors
 from testing.soak import soak
 
-CI_SEEDS = (1, 2)
-CI_S = 8.0
-# Seeds that failed once, each with a line on the cause.
-REGRESSIONS: tuple[int, ...] = ()
+CI_SOAKS = ((1, 8.0), (2, 8.0))
+# Seeds that failed once, and for how long they ran.
+REGRESSIONS = (
+    # A lease of 1 s outlived the caller's pause of 1.3 s: the entry was
+    # killed, and then calls to the endpoint were delayed.
+    (40, 15.0),
+)
 
 
-@pytest.mark.parametrize("seed", CI_SEEDS + REGRESSIONS)
-def test_promises_hold_under_random_faults(seed, tmp_path):
+@pytest.mark.parametrize(("seed", "for_s"), CI_SOAKS + REGRESSIONS)
+def test_promises_hold_under_random_faults(seed, for_s, tmp_path):
     """Guards against whatever the other tests do not think of."""
 
     def start():
         return defer.ensureDeferred(
-            soak.play(seed, for_s=CI_S, folder=tmp_path)
+            soak.play(seed, for_s=for_s, folder=tmp_path)
         )
 
     verdict = reactors.call(start)
