Do not take a process that is starting for a failure of the test

Its trace: after the stale process was killed and its replacement started, is_whole asked the replacement for its status before it listened (connection refused). Entries still counted the process before, so that the check got that far; on a quiet machine they do not.

Ruled out: a port taken by another program (the call is made at once, and the process was just started); a fault of the system (no request was lost).

Change: is_whole says "not yet" then, as it does for every other sign of a replacement that is not there; the wait keeps its limit of 60 s.

--- a/testing/fleet/system.py
+++ b/testing/fleet/system.py
@@ -6,6 +6,7 @@
 import pathlib
 import time
 import typing
+import urllib.error
 import urllib.request
 
 from _jasminewind import shards
@@ -48,7 +49,12 @@
             status = self.entry_status(index)
             if status.get("agents") != wanted or not status.get("ready"):
                 return False
-        states = [self.agent_status(n)["state"] for n in self.agents()]
+        try:
+            states = [self.agent_status(n)["state"] for n in self.agents()]
+        except urllib.error.URLError:
+            # A process that was just started does not listen yet, while
+            # entries still count the one before.
+            return False
         return set(states) == {"serving"}
 
     def wait(self, condition: typing.Callable[[], bool], what: str) -> None:
