Share the set-up of sites and nodes, and remove what nothing calls

Both job nodes pass the options of their base on, as Node does, instead of repeating them, and the three calls to an endpoint share one way to the keeper. Removed: has_passed and READY_PATH (not called), the sum of unreported needs (derived from the batches), a wrapper in the soak.

Behaviour is unchanged.

--- a/src/_jasminewind/decisions/jobs/agents.py
+++ b/src/_jasminewind/decisions/jobs/agents.py
@@ -47,7 +47,6 @@
         self.grant = 0
         self.next_batch = 1
         self.batches: list[Batch] = []
-        self.unreported = resources.NOTHING
         # What is free, as far as this entry knows.
         self.free = resources.NOTHING
         self.runs: dict[runs.RunKey, tracking.Run] = {}
@@ -72,10 +71,10 @@
         self.load = load
         if load.batch:
             self.batches = [b for b in self.batches if b.number > load.batch]
-            self.unreported = resources.NOTHING
-            for batch in self.batches:
-                self.unreported += batch.need
-        self.free = load.free - self.unreported
+        unreported = resources.NOTHING
+        for batch in self.batches:
+            unreported += batch.need
+        self.free = load.free - unreported
 
     def add(self, run: tracking.Run) -> None:
         """Count a run that is about to be ordered in the next batch."""
@@ -84,7 +83,6 @@
         self.batches.append(
             Batch(number=self.next_batch, sent_s=run.sent_s, need=need)
         )
-        self.unreported += need
         self.free -= need
 
     def is_usable(self, now_s: float) -> bool:
--- a/src/_jasminewind/decisions/jobs/leases.py
+++ b/src/_jasminewind/decisions/jobs/leases.py
@@ -62,7 +62,3 @@
         left_ms = self.deadline_ms - self.clock_ms
         left_s = left_ms / 1000 * (1 + CLOCK_DRIFT)
         return now_s > self.answered_s + left_s
-
-    def has_passed(self, deadline_ms: int) -> bool:
-        """Tell whether the endpoint has answered after ``deadline_ms``."""
-        return self.clock_ms > deadline_ms
--- a/src/_jasminewind/metrics_text.py
+++ b/src/_jasminewind/metrics_text.py
@@ -7,6 +7,7 @@
 from twisted.web import server
 
 from _jasminewind import metrics
+from _jasminewind import sites
 
 PATH = b"metrics"
 
@@ -93,7 +94,4 @@
     """Return the factory to listen with."""
     root = resource.Resource()
     root.putChild(PATH, typing.cast(typing.Any, MetricsResource(meter)))
-    found = server.Site(root)
-    found.noisy = False
-    found.displayTracebacks = False
-    return found
+    return sites.quiet_site(root)
--- a/src/_jasminewind/nodes/job_agent.py
+++ b/src/_jasminewind/nodes/job_agent.py
@@ -8,8 +8,6 @@
 from twisted.internet import defer
 
 from _jasminewind import members
-from _jasminewind import metrics
-from _jasminewind import timers
 from _jasminewind.decisions import core
 from _jasminewind.decisions.jobs import actions
 from _jasminewind.decisions.jobs import keeper
@@ -71,28 +69,16 @@
     def __init__(
         self,
         *,
-        reactor: typing.Any,
-        timer_service: timers.TimerService,
-        member: members.Member,
-        decision_log: node.DecisionLog,
-        log: typing.Any,
         connect: Connect,
         on_endpoint: OnEndpoint,
-        meter: metrics.Meter = metrics.NO_METER,
+        **options: typing.Any,
     ) -> None:
-        super().__init__(
-            reactor=reactor,
-            timer_service=timer_service,
-            member=member,
-            decision_log=decision_log,
-            log=log,
-            meter=meter,
-            probing=job_entry.PROBING,
-        )
+        """Call the endpoint by ``connect``; ``options`` are the node's."""
+        super().__init__(probing=job_entry.PROBING, **options)
         self.connect = connect
         self.on_endpoint = on_endpoint
         self.known: registry.Known | None = None
-        self.keeper = keeper.Keeper(meter=meter)
+        self.keeper = keeper.Keeper(meter=self.meter)
         self.calls: EndpointCalls | None = None
         self.address = members.NO_ADDRESS
         self.latest: Announcement | None = None
@@ -101,7 +87,7 @@
         self.handlers[actions.CallRenew] = self.renew
         self.add(self.keeper)
         self.ticks.append(
-            timer_service.every(SLOWNESS_CHECK_S, self.remember_slowness)
+            self.timers.every(SLOWNESS_CHECK_S, self.remember_slowness)
         )
 
     def set_members(self, rows: dict[str, bytes]) -> None:
@@ -216,15 +202,11 @@
         del decision
         if self.calls is None:
             return
-
-        def answered(reply: actions.CallReply) -> None:
-            now = self.timers.now()
-            key = action.order.key
-            self.perform(
-                self.keeper, self.keeper.on_start_reply(key, reply, now)
-            )
-
-        self.finish(self.calls.start(action), answered)
+        key = action.order.key
+        self.finish(
+            self.calls.start(action),
+            lambda reply, now: self.keeper.on_start_reply(key, reply, now),
+        )
 
     def stop_run(
         self, decision: core.Decision, action: actions.CallStop
@@ -233,15 +215,12 @@
         del decision
         if self.calls is None:
             return
-
-        def answered(reply: actions.CallReply) -> None:
-            now = self.timers.now()
-            self.perform(
-                self.keeper,
-                self.keeper.on_stop_reply(action.key, reply, now),
-            )
-
-        self.finish(self.calls.stop(action), answered)
+        self.finish(
+            self.calls.stop(action),
+            lambda reply, now: self.keeper.on_stop_reply(
+                action.key, reply, now
+            ),
+        )
 
     def renew(
         self, decision: core.Decision, action: actions.CallRenew
@@ -250,22 +229,23 @@
         del decision
         if self.calls is None:
             return
-
-        def answered(reply: actions.RenewReply) -> None:
-            now = self.timers.now()
-            self.perform(
-                self.keeper,
-                self.keeper.on_renewed(action, reply, now),
-            )
-
-        self.finish(self.calls.renew(action), answered)
+        self.finish(
+            self.calls.renew(action),
+            lambda reply, now: self.keeper.on_renewed(action, reply, now),
+        )
 
     def finish(
         self,
         calling: collections.abc.Coroutine[typing.Any, typing.Any, typing.Any],
-        answered: collections.abc.Callable[[typing.Any], None],
+        take: collections.abc.Callable[
+            [typing.Any, core.Instant], core.Actions
+        ],
     ) -> None:
-        """Pass on the reply of a call."""
+        """Pass the reply of a call to the keeper by ``take``."""
+
+        def answered(reply: typing.Any) -> None:
+            self.perform(self.keeper, take(reply, self.timers.now()))
+
         deferred = defer.ensureDeferred(calling)
         deferred.addCallback(answered)
         deferred.addErrback(self.report_failure)
--- a/src/_jasminewind/nodes/job_entry.py
+++ b/src/_jasminewind/nodes/job_entry.py
@@ -6,9 +6,6 @@
 
 from twisted.internet import defer
 
-from _jasminewind import members
-from _jasminewind import metrics
-from _jasminewind import timers
 from _jasminewind.decisions import core
 from _jasminewind.decisions.jobs import actions
 from _jasminewind.decisions.jobs import cancellation
@@ -55,31 +52,19 @@
     def __init__(
         self,
         *,
-        reactor: typing.Any,
-        timer_service: timers.TimerService,
-        member: members.Member,
-        decision_log: node.DecisionLog,
-        log: typing.Any,
         rng: random.Random,
         placement: str,
         shutdown_limit_s: float,
-        meter: metrics.Meter = metrics.NO_METER,
+        **options: typing.Any,
     ) -> None:
-        super().__init__(
-            reactor=reactor,
-            timer_service=timer_service,
-            member=member,
-            decision_log=decision_log,
-            log=log,
-            meter=meter,
-            probing=PROBING,
-        )
+        """Place by ``placement``; ``options`` are the node's."""
+        super().__init__(probing=PROBING, **options)
         self.config = specs.NO_CONFIGURATION
         self.owner = owner.JobOwner.from_policy(
             placement,
             rng=rng,
-            now_s=timer_service.now().mono_s,
-            meter=meter,
+            now_s=self.timers.now().mono_s,
+            meter=self.meter,
         )
         self.cancellation = cancellation.Cancellation(jobs=self.owner)
         self.cancelling: dict[int, defer.Deferred[bool]] = {}
--- a/src/_jasminewind/nodes/local.py
+++ b/src/_jasminewind/nodes/local.py
@@ -8,6 +8,7 @@
 from twisted.web import server
 
 from _jasminewind import announcements
+from _jasminewind import sites
 
 MAX_BODY_BYTES = 16 << 10
 
@@ -114,8 +115,4 @@
     put(root, b"v1", version)
     put(root, b"healthz", Health(lambda: ""))
     put(root, b"readyz", Health(not_ready))
-    # Requests of one endpoint and of health checks need no access log.
-    found = server.Site(root)
-    found.noisy = False
-    found.displayTracebacks = False
-    return found
+    return sites.quiet_site(root)
--- a/src/_jasminewind/platform/bodies.py
+++ b/src/_jasminewind/platform/bodies.py
@@ -22,7 +22,6 @@
 MACHINE_START_PATH = "/-/run-start"
 MACHINE_STOP_PATH = "/-/run-stop"
 MACHINE_RENEW_PATH = "/-/hold"
-READY_PATH = "/-/readiness"
 BEAT_PREFIX = "/-/Instances.Heartbeat/"
 LEAVE_PREFIX = "/-/Instances.Leave/"
 
--- a/src/_jasminewind/platform/control.py
+++ b/src/_jasminewind/platform/control.py
@@ -7,6 +7,7 @@
 from twisted.web import server
 
 from _jasminewind import job_settings
+from _jasminewind import sites
 from _jasminewind.nodes import job_agent
 from _jasminewind.platform import bodies
 
@@ -74,7 +75,4 @@
 
 def site(owner: job_agent.JobAgent) -> server.Site:
     """Return the factory to listen with."""
-    found = server.Site(ControlResource(owner))
-    found.noisy = False
-    found.displayTracebacks = False
-    return found
+    return sites.quiet_site(ControlResource(owner))
--- a/src/_jasminewind/platform/ingress.py
+++ b/src/_jasminewind/platform/ingress.py
@@ -13,6 +13,7 @@
 from twisted.web import resource
 from twisted.web import server
 
+from _jasminewind import sites
 from _jasminewind.decisions.jobs import specs
 from _jasminewind.nodes import job_entry
 from _jasminewind.platform import bodies
@@ -43,12 +44,7 @@
 
     def site(self) -> server.Site:
         """Return the factory to listen with."""
-        found = server.Site(
-            typing.cast(resource.IResource, self.app.resource())
-        )
-        found.noisy = False
-        found.displayTracebacks = False
-        return found
+        return sites.quiet_site(self.app.resource())
 
     @app.route("/", branch=True, methods=["GET", "POST", "DELETE"])
     def handle(self, request: typing.Any) -> typing.Any:
@@ -243,7 +239,4 @@
 
 def ready_site(backend: job_entry.JobEntry) -> server.Site:
     """Return the factory to listen with for readiness."""
-    found = server.Site(ReadyResource(backend))
-    found.noisy = False
-    found.displayTracebacks = False
-    return found
+    return sites.quiet_site(ReadyResource(backend))
--- /dev/null
+++ b/src/_jasminewind/sites.py
@@ -0,0 +1,17 @@
+"""HTTP sites that processes serve through twisted."""
+
+import typing
+
+from twisted.web import resource
+from twisted.web import server
+
+
+def quiet_site(root: typing.Any) -> server.Site:
+    """Return the factory to listen with.
+
+    Its start and stop are not logged, and callers see no traceback.
+    """
+    found = server.Site(typing.cast(resource.IResource, root))
+    found.noisy = False
+    found.displayTracebacks = False
+    return found
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -34,7 +34,7 @@
 
 
 async def within(limit_s, awaited):
-    """Wait for a coroutine; tell whether it ended in time."""
+    """Wait for a coroutine or Deferred; tell whether it ended in time."""
     waiting = defer.ensureDeferred(awaited)
     waiting.addTimeout(limit_s, reactors.reactor)
     try:
@@ -61,7 +61,7 @@
         if not await within(RECOVERY_S, recovered(fleet, callers_here)):
             broken.append(f"no recovery within {RECOVERY_S} s")
         settled = defer.DeferredList(callers_here.waiting, consumeErrors=True)
-        await within(SETTLE_LIMIT_S, wait(settled))
+        await within(SETTLE_LIMIT_S, settled)
         broken += callers_here.broken()
         broken += [text for e in fleet.endpoints for text in e.broken]
     finally:
@@ -79,11 +79,6 @@
     )
 
 
-async def wait(deferred):
-    """Wait for a Deferred."""
-    await deferred
-
-
 async def under_faults(fleet, callers_here, injector, for_s):
     """Submit jobs and inject faults for a while."""
     until_s = fleet.reactor.seconds() + for_s
