--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,2 +1,3 @@
 #!/bin/sh
-cd "$(dirname "$0")" && exec python3 play.py
+# TROUBLE=0 plays the same without the disruption.
+cd "$(dirname "$0")" && exec python3 play.py "${TROUBLE:-1}"
--- a/review/standins.py
+++ b/review/standins.py
@@ -744,9 +744,12 @@
 
 
 def main(play):
-    """Run ``play(system, has_trouble)``, which returns what was broken."""
+    """Run ``play(system, has_trouble)``, which returns what was broken.
+
+    The first argument of the program is the value of TROUBLE; "0" is none.
+    """
     here = pathlib.Path(sys.argv[0]).resolve().parent
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    has_trouble = sys.argv[1:2] != ["0"]
     if not (ROOT / "target/deps").is_dir():
         print("target/deps is missing: run the build of the deploy file")
         sys.exit(2)
