Use another endpoint only once it answers and the known one is gone

What callers saw: two runs of a task at the same time. One heartbeat of another writer, which names a service of no configuration, made an agent drop its endpoint; it reported all runs as ended, and the entries started them elsewhere while the first ones went on. The agent then ignored the heartbeats of its real endpoint for good.

Cause: whoever announced itself last took the endpoint's place, unasked. RunExecutor.attach ended the runs although the lease of the endpoint was valid, and JobAgent.is_stale compared times of birth across names.

Now EndpointSelection decides which announcement counts: another incarnation takes effect once the known one certainly executes nothing, an endpoint answers under the announced name, and its service is configured. Heartbeats that borrow the name, the address or a later time of birth of the endpoint are covered by the same rule.

--- a/src/_jasminewind/decisions/jobs/executor.py
+++ b/src/_jasminewind/decisions/jobs/executor.py
@@ -144,7 +144,11 @@
         is_draining: bool,
         now: core.Instant,
     ) -> core.Actions:
-        """Handle an announcement of the endpoint."""
+        """Handle an announcement of the endpoint.
+
+        Another incarnation than the known one takes its place at once, so
+        the caller checks before that the known one is gone.
+        """
         known = self.endpoint
         self.last_announcement_s = now.mono_s
         if known is None or known.name != record.name:
@@ -166,6 +170,14 @@
         self.start_queued(now)
         return self.flush()
 
+    def is_endpoint_gone(self, now: core.Instant) -> bool:
+        """Tell whether no known endpoint can be executing a run.
+
+        One that does not answer keeps its runs until its lease expires.
+        """
+        has_lapsed = self.lease.has_expired(now.mono_s)
+        return self.endpoint is None or (not self.is_reachable and has_lapsed)
+
     def restore_endpoint(
         self, record: runs.EndpointRecord, now: core.Instant
     ) -> core.Actions:
--- a/src/_jasminewind/nodes/job_agent.py
+++ b/src/_jasminewind/nodes/job_agent.py
@@ -10,28 +10,13 @@
 from _jasminewind import members
 from _jasminewind.decisions import core
 from _jasminewind.decisions.jobs import actions
+from _jasminewind.decisions.jobs import endpoint_selection
 from _jasminewind.decisions.jobs import executor
 from _jasminewind.decisions.jobs import registry
-from _jasminewind.messages import runs
 from _jasminewind.nodes import job_links
 from _jasminewind.nodes import linked_node
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Announcement:
-    """Heartbeat of an endpoint, with its state and address.
-
-    ``clock_ms`` is the endpoint's monotonic clock. ``sequence`` increases
-    with each announcement of one incarnation, to detect reordered ones.
-    """
-
-    record: runs.EndpointRecord
-    address: members.Address
-    sequence: int
-    clock_ms: int
-    is_draining: bool
-
-
 class EndpointClient(abc.ABC):
     """Client of one endpoint; every call is sent at most once."""
 
@@ -61,6 +46,11 @@
 
 Connect = collections.abc.Callable[[members.Address], EndpointClient]
 OnEndpoint = collections.abc.Callable[[registry.KnownEndpoint | None], None]
+# The names of the configured services, ``None`` if they cannot be read.
+ReadServices = collections.abc.Callable[
+    [],
+    collections.abc.Coroutine[typing.Any, typing.Any, frozenset[str] | None],
+]
 
 
 class JobAgent(linked_node.LinkedNode):
@@ -71,25 +61,35 @@
         *,
         connect: Connect,
         on_endpoint: OnEndpoint,
+        read_services: ReadServices,
         **options: typing.Any,
     ) -> None:
         """Create clients with ``connect``; ``on_endpoint`` stores changes."""
         super().__init__(timeouts=job_links.TIMEOUTS, **options)
         self.connect = connect
         self.on_endpoint = on_endpoint
+        self.read_services = read_services
         self.endpoint: registry.KnownEndpoint | None = None
-        # False once the endpoint has reported itself or left.
+        # False once the endpoint has announced itself.
         self.may_restore = True
+        # Name of the last endpoint that has left.
+        self.left_endpoint = ""
         self.executor = executor.RunExecutor(
             agent=self.member.node.name, meter=self.meter
         )
+        self.selection = endpoint_selection.EndpointSelection(
+            run_executor=self.executor
+        )
         self.client: EndpointClient | None = None
         self.endpoint_address = members.NO_ADDRESS
-        self.last_announcement: Announcement | None = None
         self.handlers[actions.CallStart] = self.start
         self.handlers[actions.CallStop] = self.stop_run
         self.handlers[actions.CallRenew] = self.renew
+        self.handlers[endpoint_selection.Identify] = self.identify
+        self.handlers[endpoint_selection.ReadServices] = self.check_services
+        self.handlers[endpoint_selection.UseEndpoint] = self.use_endpoint
         self.add_state_machine(self.executor)
+        self.add_state_machine(self.selection)
         self.subscriptions.append(
             self.timers.every(SLOWNESS_CHECK_PERIOD_S, self.store_slowness)
         )
@@ -118,8 +118,11 @@
         endpoint = registration.unwrap().endpoint
         if endpoint is None or endpoint.is_draining:
             return
+        if endpoint.record.name == self.left_endpoint:
+            return
         self.endpoint = endpoint
         self.connect_to(endpoint.address)
+        self.selection.trust_service(endpoint.record.service)
         now = self.timers.now()
         self.executor.speed.restore(endpoint.slowness)
         self.perform(
@@ -135,7 +138,9 @@
         self.endpoint_address = address
         self.client = self.connect(address)
 
-    def store_endpoint(self, announcement: Announcement) -> None:
+    def store_endpoint(
+        self, announcement: endpoint_selection.Announcement
+    ) -> None:
         """Store the endpoint if its record, address or state changed."""
         endpoint = registry.KnownEndpoint(
             record=announcement.record,
@@ -160,46 +165,26 @@
 
     # Reports of the endpoint
 
-    def on_announcement(self, announcement: Announcement) -> None:
-        """Handle an announcement; a stale one is ignored."""
-        if self.is_stale(announcement):
-            return
-        self.last_announcement = announcement
-        self.may_restore = False
-        self.connect_to(announcement.address)
-        self.store_endpoint(announcement)
+    def on_announcement(
+        self, announcement: endpoint_selection.Announcement
+    ) -> None:
+        """Handle an announcement, which anybody may have sent."""
+        now = self.timers.now()
         self.perform(
-            self.executor,
-            self.executor.on_announcement(
-                announcement.record,
-                clock_ms=announcement.clock_ms,
-                is_draining=announcement.is_draining,
-                now=self.timers.now(),
-            ),
+            self.selection, self.selection.on_announcement(announcement, now)
         )
 
-    def is_stale(self, announcement: Announcement) -> bool:
-        """Return whether a newer announcement was received before."""
-        last = self.last_announcement
-        if last is None:
-            return False
-        record = announcement.record
-        if record.born_ms != last.record.born_ms:
-            return record.born_ms < last.record.born_ms
-        if record.name != last.record.name:
-            return False
-        return announcement.sequence <= last.sequence
-
     def on_endpoint_left(self, name: str) -> None:
         """Handle the endpoint's notice that it is exiting.
 
         The next process of this agent must not restore it.
         """
-        self.may_restore = False
+        self.left_endpoint = name
         if self.endpoint is not None and self.endpoint.record.name == name:
             self.endpoint = None
             self.on_endpoint(None)
         now = self.timers.now()
+        self.selection.on_endpoint_left(name)
         self.perform(self.executor, self.executor.on_endpoint_left(name, now))
 
     # Shutdown
@@ -220,6 +205,62 @@
 
     # Actions
 
+    def use_endpoint(
+        self,
+        machine: core.StateMachine,
+        action: endpoint_selection.UseEndpoint,
+    ) -> None:
+        """Use the endpoint of an announcement."""
+        del machine
+        announcement = action.announcement
+        self.may_restore = False
+        self.connect_to(announcement.address)
+        self.store_endpoint(announcement)
+        self.perform(
+            self.executor,
+            self.executor.on_announcement(
+                announcement.record,
+                clock_ms=announcement.clock_ms,
+                is_draining=announcement.is_draining,
+                now=self.timers.now(),
+            ),
+        )
+
+    def identify(
+        self, machine: core.StateMachine, action: endpoint_selection.Identify
+    ) -> None:
+        """Read the state of an announced endpoint, to learn who answers."""
+        del machine
+        announcement = action.announcement
+        client = self.connect(announcement.address)
+        # It renews nothing and acknowledges no end.
+        read = actions.CallRenew(
+            endpoint=announcement.record,
+            fencing_token=0,
+            deadline_ms=0,
+            last_end=0,
+            wait_s=0.0,
+        )
+
+        def on_reply(
+            reply: actions.RenewReply, now: core.Instant
+        ) -> core.Actions:
+            client.close()
+            return self.selection.on_identity(announcement, reply, now)
+
+        self.forward_reply(self.selection, client.renew(read), on_reply)
+
+    def check_services(
+        self,
+        machine: core.StateMachine,
+        action: endpoint_selection.ReadServices,
+    ) -> None:
+        """Read the names of the configured services."""
+        del machine, action
+        self.forward_reply(
+            self.selection, self.read_services(), self.selection.on_services
+        )
+
     def start(
         self, machine: core.StateMachine, action: actions.CallStart
     ) -> None:
@@ -229,6 +270,7 @@
             return
         key = action.order.key
         self.forward_reply(
+            self.executor,
             self.client.start(action),
             lambda reply, now: self.executor.on_start_reply(key, reply, now),
         )
@@ -241,6 +283,7 @@
         if self.client is None:
             return
         self.forward_reply(
+            self.executor,
             self.client.stop(action),
             lambda reply, now: self.executor.on_stop_reply(
                 action.key, reply, now
@@ -255,6 +298,7 @@
         if self.client is None:
             return
         self.forward_reply(
+            self.executor,
             self.client.renew(action),
             lambda reply, now: self.executor.on_renew_reply(
                 action, reply, now
@@ -263,15 +307,16 @@
 
     def forward_reply(
         self,
+        machine: core.StateMachine,
         call: collections.abc.Coroutine[typing.Any, typing.Any, typing.Any],
         handle_reply: collections.abc.Callable[
             [typing.Any, core.Instant], core.Actions
         ],
     ) -> None:
-        """Pass the reply of a call to the executor by ``handle_reply``."""
+        """Pass the reply of a call to a state machine by ``handle_reply``."""
 
         def on_reply(reply: typing.Any) -> None:
-            self.perform(self.executor, handle_reply(reply, self.timers.now()))
+            self.perform(machine, handle_reply(reply, self.timers.now()))
 
         deferred = defer.ensureDeferred(call)
         deferred.addCallback(on_reply)
--- a/src/_jasminewind/platform/bodies.py
+++ b/src/_jasminewind/platform/bodies.py
@@ -206,6 +206,30 @@
         )
 
 
+class RouteServiceBody(Body):
+    """The service that runs the tasks of a queue."""
+
+    service: str = ""
+
+
+class ServiceBody(Body):
+    """A service of the configuration."""
+
+    name: str = ""
+
+
+class ServicesBody(Body):
+    """The part of the configuration that names services."""
+
+    routes: tuple[RouteServiceBody, ...] = ()
+    services: tuple[ServiceBody, ...] = ()
+
+    def names(self) -> frozenset[str]:
+        """Return the names of all services."""
+        used = {route.service for route in self.routes}
+        return frozenset(used | {service.name for service in self.services})
+
+
 # Endpoints
 
 
--- a/src/_jasminewind/platform/control.py
+++ b/src/_jasminewind/platform/control.py
@@ -3,6 +3,7 @@
 import structlog
 
 from _jasminewind import job_settings
+from _jasminewind.decisions.jobs import endpoint_selection
 from _jasminewind.nodes import job_agent
 from _jasminewind.platform import bodies
 from _jasminewind.platform import http_server
@@ -61,7 +62,7 @@
             )
             return 400
         self.agent.on_announcement(
-            job_agent.Announcement(
+            endpoint_selection.Announcement(
                 record=heartbeat.to_record(name),
                 address=address,
                 sequence=heartbeat.sequence,
--- a/src/_jasminewind/platform/daemon.py
+++ b/src/_jasminewind/platform/daemon.py
@@ -162,6 +162,7 @@
                 address=address,
             ),
             on_endpoint=self.on_endpoint_changed,
+            read_services=self.read_services,
         )
         self.sites = [
             (self.settings.control, http_server.Site(control.Control(agent)))
@@ -207,6 +208,26 @@
             return
         self.node.set_configuration(body.unwrap().to_configuration())
 
+    async def read_services(self) -> frozenset[str] | None:
+        """Return the configured services, ``None`` if not readable.
+
+        An agent needs no more of the configuration, and this only when its
+        endpoint is new, so it does not watch the table.
+        """
+        row = await self.store.read_row(
+            bodies.CONFIGURATION_TABLE, bodies.CONFIGURATION_KEY
+        )
+        body = row.and_then(
+            lambda value: bodies.decode(value or b"", bodies.ServicesBody)
+        )
+        if body.is_err():
+            self.log.warning(
+                "services not read; endpoints of any service are used",
+                reason=str(body.unwrap_err()),
+            )
+            return None
+        return body.unwrap().names()
+
     def on_endpoint_changed(
         self, known: registry.KnownEndpoint | None
     ) -> None:
--- a/testing/platform/test_entry_and_agent.py
+++ b/testing/platform/test_entry_and_agent.py
@@ -138,8 +138,8 @@
         reply = response.unwrap()
         return reply.status, reply.body
 
-    async def send_heartbeat(self, **fields):
-        """Send a heartbeat of the endpoint."""
+    async def send_heartbeat(self, endpoint="i-1", **fields):
+        """Send a heartbeat of an endpoint, by default of the machine."""
         self.sequence += 1
         body = {
             **fake_platform.HEARTBEAT,
@@ -148,7 +148,7 @@
             "sequence": self.sequence,
             **fields,
         }
-        path = "/-/Instances.Heartbeat/i-1"
+        path = f"/-/Instances.Heartbeat/{endpoint}"
         return await self.call(b"POST", "control", path, body)
 
     async def wait_until_ready(self):
@@ -370,6 +370,63 @@
     assert system.daemons[1].node.executor.endpoint is None
 
 
+@pytest.mark.parametrize(
+    ("endpoint", "service"),
+    [("x-0", "label-printers"), ("x-0", "orders"), ("i-1", "orders")],
+)
+def test_a_foreign_heartbeat_does_not_end_the_runs_of_a_living_endpoint(
+    system, endpoint, service
+):
+    """Guards against two runs of a task after a heartbeat of another writer.
+
+    Nothing listens at the address that it names.
+    """
+    now_ms = 2_000_000_000_000
+
+    async def disturb():
+        await system.wait_until_ready()
+        system.machine.fake.is_hanging = True
+        submitting = system.call(
+            b"POST", "callers", JOB_PATH, fake_platform.JOB
+        )
+        defer.ensureDeferred(submitting).addErrback(lambda failure: None)
+        executor = system.daemons[1].node.executor
+        await reactor.until(lambda: len(system.machine.fake.starts) == 3)
+        status, _ = await system.send_heartbeat(
+            endpoint,
+            service=service,
+            address=f"{HOST}:{ALLOCATOR.take()}",
+            born=now_ms,
+        )
+        await reactor.sleep(0.2)
+        kept = set(executor.allocation.runs)
+        await system.send_heartbeat(state="draining")
+        await reactor.until(lambda: executor.is_draining)
+        return status, kept, executor.endpoint.name
+
+    status, kept, name = reactor.run(disturb)
+    assert status == 200
+    assert len(kept) == 3
+    assert name == "i-1"
+
+
+def test_an_endpoint_of_no_configured_service_is_not_used(system):
+    """Guards against work lost to an endpoint that belongs to nobody."""
+
+    async def announce():
+        value = json.dumps(fake_platform.CONFIGURATION).encode()
+        system.store.put("op", "config", value)
+        await system.send_heartbeat(service="label-printers")
+        await reactor.sleep(0.1)
+        node = system.daemons[1].node
+        ignored = node.executor.endpoint
+        await system.send_heartbeat()
+        await reactor.until(node.executor.is_accepting)
+        return ignored
+
+    assert reactor.run(announce) is None
+
+
 def test_a_restarted_agent_resumes_with_its_endpoint(system):
     """Guards against an endpoint left idle until its next heartbeat."""
 
