Repeat lost stops with whatever extends the grant of their runs

What callers saw: two runs of a task at the same time. A client's connection and the links of its entry were reset together; the job went on while the client had it run at another entry.

Cause: StopRuns was sent once and lost with its link. The entry then acknowledged the next heartbeat on the new link, 0.2 s later, which extended the grant of the runs without a word of the stop.

BeatEcho and StartRuns, which extend a grant, now name every run to be stopped whose end has not been reported. So there is no order of lost messages in which a run is kept alive and its stop is not known. An agent answers a stop of an unknown run as a query: lost reports are repeated, and late orders refused.

--- a/spec/grants.py
+++ b/spec/grants.py
@@ -2,10 +2,12 @@
 
 An entry orders a run under a heartbeat of an agent. The agent renews the
 lease of its endpoint while the entry acknowledges heartbeats. When the entry
-dies or is paused, its caller submits the job to a second entry, which runs
-the task elsewhere. The agent may stop serving the entry at any time, and may
-let a run wait before it starts it. Time passes in steps of about a third of a
-second.
+dies or is paused, or the caller's connection breaks, the caller submits the
+job to a second entry, which runs the task elsewhere. An entry that has lost
+its caller has the run stopped; the stop may be lost with its link, so whatever
+extends the grant repeats it. The agent may stop serving the entry at any time,
+and may let a run wait before it starts it. Time passes in steps of about a
+third of a second.
 """
 
 import enum
@@ -19,6 +21,8 @@
     "woken_entry",
     "release_silences",
     "stale_queue",
+    "bare_acknowledgement",
+    "bare_order",
 )
 # Steps that a grant, a lease and the delay of a resubmission last.
 GRANT = 2
@@ -30,13 +34,15 @@
 class Entry(enum.IntEnum):
     """State of the first entry.
 
-    A ``WOKEN`` entry has not noticed yet that its caller has left.
+    A ``WOKEN`` entry has not noticed yet that its caller has left. A
+    ``STOPPING`` one has, and lives on.
     """
 
     WORKING = 0
     PAUSED = 1
     WOKEN = 2
     ENDED = 3
+    STOPPING = 4
 
 
 class State(typing.NamedTuple):
@@ -91,14 +97,14 @@
     has_runs = state.first_runs or state.queued
     has_runs = has_runs and mutation != "release_silences"
     sends = state.agent and (not state.released or has_runs)
-    if not sends or state.entry != Entry.WORKING:
+    if not sends or state.entry not in (Entry.WORKING, Entry.STOPPING):
         return [("time passes", supervise(later, mutation))]
     received = later._replace(beat=0)
+    acknowledged = received._replace(grant=0)
+    if state.entry == Entry.STOPPING and mutation != "bare_acknowledgement":
+        acknowledged = stopped(acknowledged)
     return [
-        (
-            "heartbeat is acknowledged",
-            supervise(received._replace(grant=0), mutation),
-        ),
+        ("heartbeat is acknowledged", supervise(acknowledged, mutation)),
         (
             "acknowledgement is lost",
             supervise(received._replace(lost=True), mutation),
@@ -110,6 +116,14 @@
     ]
 
 
+def stopped(state: State) -> State:
+    """Return the state once a stop has reached the agent.
+
+    An order that has not arrived will be refused.
+    """
+    return state._replace(first_runs=False, queued=False, order=NEVER)
+
+
 def supervise(state: State, mutation: str) -> State:
     """Let the agent renew the lease or stop the run, and the lease expire."""
     if not state.first_runs:
@@ -142,6 +156,12 @@
         steps.append(
             ("the entry is paused", state._replace(entry=Entry.PAUSED))
         )
+        left = state._replace(entry=Entry.STOPPING, away=0)
+        steps.append(("the caller leaves, and the stop is lost", left))
+        if state.agent:
+            steps.append(
+                ("the caller leaves, and the run stops", stopped(left))
+            )
     if state.entry == Entry.PAUSED:
         fresh = state.agent and not state.released
         woken = state._replace(beat=0 if fresh else state.beat)
@@ -182,6 +202,11 @@
         # Otherwise the agent refuses the run, now or once it is not paused.
         started = state._replace(queued=False, first_runs=True, lease=LEASE)
         steps.append(("the queued run starts", started))
+    if state.entry in (Entry.WORKING, Entry.STOPPING) and state.beat <= GRANT:
+        granted = state._replace(grant=min(state.grant, state.beat))
+        if state.entry == Entry.STOPPING and mutation != "bare_order":
+            granted = stopped(granted)
+        steps.append(("an order of another job arrives", granted))
     if state.order == NEVER:
         return steps
     arrived = state._replace(order=NEVER)
--- a/src/_jasminewind/decisions/jobs/agents.py
+++ b/src/_jasminewind/decisions/jobs/agents.py
@@ -53,6 +53,8 @@
         # The reported free capacity less the starts that it does not count.
         self.free = resources.NOTHING
         self.runs: dict[runs.RunKey, tracking.Run] = {}
+        # The runs among them that the agent has to stop.
+        self.stops: dict[runs.RunKey, None] = {}
         self.needs_query = False
         self.failed_jobs: set[str] = set()
         self.ejected_until_s = 0.0
@@ -94,6 +96,11 @@
         )
         self.free -= need
 
+    def remove_run(self, key: runs.RunKey) -> None:
+        """Remove a run that has ended or will never start."""
+        del self.runs[key]
+        self.stops.pop(key, None)
+
     def is_usable(self, now_s: float) -> bool:
         """Tell whether new runs may be placed here."""
         return (
--- a/src/_jasminewind/decisions/jobs/executor.py
+++ b/src/_jasminewind/decisions/jobs/executor.py
@@ -271,20 +271,13 @@
     ) -> core.Actions:
         """Handle a message of an owner."""
         if isinstance(message, runs.BeatEcho):
+            self.stop_runs(sender, message.stops, now)
             if self.grants.renew(sender, message.sequence, now.mono_s):
                 self.log("owner", f"{sender} acknowledged its first heartbeat")
         elif isinstance(message, runs.StartRuns):
             self.on_start_runs(sender, message, now)
         elif isinstance(message, runs.StopRuns):
-            for key in message.keys:
-                run = self.allocation.runs.get(key)
-                if run is not None and run.owner == sender:
-                    self.stop_run(
-                        run,
-                        runs.RunOutcome.STOPPED,
-                        now,
-                        renew_for_s=MAX_RENEWAL_AFTER_STOP_S,
-                    )
+            self.stop_runs(sender, message.keys, now)
         elif isinstance(message, runs.QueryRuns):
             self.on_query(sender, message, now)
         return self.flush()
@@ -296,6 +289,7 @@
         now: core.Instant,
     ) -> None:
         """Queue the runs of a batch, or refuse them as not started."""
+        self.stop_runs(sender, message.stops, now)
         self.grants.record_batch(sender, message.batch, now.mono_s)
         age_s = self.grants.heartbeat_age_s(message.grant, now.mono_s)
         if age_s <= leases.OWNER_GRANT_S:
@@ -347,14 +341,44 @@
     ) -> None:
         """Report which of the queried runs have ended or are unknown."""
         for key in message.keys:
-            if key in self.allocation.runs:
-                continue
-            end = self.recent_ends.get(key)
-            if end is not None:
-                self.ends[sender].append(end)
-            else:
-                self.refuse_run(
-                    sender, key, "the order to start it never arrived", now
+            if key not in self.allocation.runs:
+                self.report_absent(sender, key, now)
+
+    def report_absent(
+        self, owner: members.NodeId, key: runs.RunKey, now: core.Instant
+    ) -> None:
+        """Report how a run ended, or that it will never start here."""
+        end = self.recent_ends.get(key)
+        if end is not None:
+            self.ends[owner].append(end)
+        else:
+            self.refuse_run(
+                owner, key, "the order to start it never arrived", now
+            )
+
+    def stop_runs(
+        self,
+        sender: members.NodeId,
+        keys: tuple[runs.RunKey, ...],
+        now: core.Instant,
+    ) -> None:
+        """Stop runs of an owner, which repeats this until they have ended.
+
+        The order of a run that is not here may still arrive on another link,
+        and the report of one that has ended may be lost.
+        """
+        for key in keys:
+            run = self.allocation.runs.get(key)
+            if run is None:
+                self.report_absent(sender, key, now)
+            elif run.owner == sender:
+                if not run.is_stopping:
+                    self.log("stop", f"{sender} has no more need of it", key)
+                self.stop_run(
+                    run,
+                    runs.RunOutcome.STOPPED,
+                    now,
+                    renew_for_s=MAX_RENEWAL_AFTER_STOP_S,
                 )
 
     def expire_owners(self, now: core.Instant) -> None:
--- a/src/_jasminewind/decisions/jobs/owner.py
+++ b/src/_jasminewind/decisions/jobs/owner.py
@@ -128,6 +128,7 @@
                 batch=agent.next_batch,
                 grant=agent.grant,
                 orders=tuple(orders),
+                stops=tuple(agent.stops),
             )
             agent.next_batch += 1
             self.actions.append(actions.send(node, message))
@@ -392,7 +393,9 @@
             agent = self.directory.add(sender)
             self.log("agent", "", "first heartbeat", choice=str(sender))
         self.directory.on_heartbeat(agent, message, now.mono_s)
-        echo = runs.BeatEcho(sequence=message.sequence)
+        echo = runs.BeatEcho(
+            sequence=message.sequence, stops=tuple(agent.stops)
+        )
         self.actions.append(actions.send(sender, echo))
         if agent.needs_query:
             agent.needs_query = False
@@ -535,7 +538,7 @@
         """Handle the end of one run."""
         task = run.task
         agent = run.agent
-        del agent.runs[run.key]
+        agent.remove_run(run.key)
         task.run = None
         self.meter.add(metrics.RUNS_ENDED, outcome=end.outcome.value)
         if end.checkpoint and task.step_spec.can_checkpoint:
@@ -660,6 +663,7 @@
                 self.unfinished_runs.setdefault(job.spec.job, set()).add(
                     run.key
                 )
+                run.agent.stops[run.key] = None
                 self.pending_stops[run.agent.node].append(run.key)
         self.record_answer(job, answer, now)
         took_s = now.mono_s - job.arrived_s
--- a/src/_jasminewind/messages/runs.py
+++ b/src/_jasminewind/messages/runs.py
@@ -71,9 +71,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class BeatEcho:
-    """Confirms to an agent that its grant arrived and its owner is alive."""
+    """Confirms to an agent that its grant arrived and its owner is alive.
+
+    ``stops`` are all runs to be stopped whose end has not been reported, so
+    that no grant is extended while a stop is lost.
+    """
 
     sequence: int
+    stops: tuple[RunKey, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -101,16 +106,24 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class StartRuns:
-    """Start runs under the lease granted by beat ``grant``."""
+    """Start runs under the lease granted by beat ``grant``.
+
+    It extends the grant as :class:`BeatEcho` does, so it names the same
+    ``stops``.
+    """
 
     batch: int
     grant: int
     orders: tuple[RunOrder, ...]
+    stops: tuple[RunKey, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class StopRuns:
-    """Stop runs that are no longer needed."""
+    """Stop runs that are no longer needed.
+
+    It may be lost with its link; the next :class:`BeatEcho` repeats it.
+    """
 
     keys: tuple[RunKey, ...]
 
--- a/testing/decisions/jobs/cluster.py
+++ b/testing/decisions/jobs/cluster.py
@@ -1,5 +1,6 @@
 """Simulated cluster: owners, executors and fake endpoints on one clock."""
 
+import collections
 import heapq
 import itertools
 import random
@@ -62,7 +63,8 @@
     """A cluster on a simulated clock, with fault injection.
 
     ``partitions`` holds pairs of process names (from, to) between which
-    messages are lost. ``start_loss`` is the share of starts whose reply is
+    messages are lost; :meth:`reset_links` loses those in flight.
+    ``start_loss`` is the share of starts whose reply is
     lost; they take effect after ``start_delay_s``. Lost stops have no effect.
     """
 
@@ -74,6 +76,8 @@
         self.processes = {}
         self.endpoints = {}
         self.partitions = set()
+        # How often the links of a process were reset.
+        self.resets = collections.Counter()
         self.answers = {}
         self.start_loss = 0.0
         self.renewal_loss = 0.0
@@ -211,7 +215,11 @@
         if action.to.name and action.to != target.node:
             return
 
+        resets = self.count_resets(process, target)
+
         def event():
+            if resets != self.count_resets(process, target):
+                return
             now = self.instant()
             requested = target.state_machine.on_message(
                 process.node, action.message, now
@@ -220,6 +228,30 @@
 
         self.at(LINK_DELAY_S, lambda: self.deliver(target, event))
 
+    def count_resets(self, *processes):
+        """Return how often the link between two processes was reset."""
+        return sum(self.resets[process.node.name] for process in processes)
+
+    def reset_links(self, name):
+        """Reset the links of an entry; messages in flight are lost."""
+        self.resets[name] += 1
+        entry = self.processes[name]
+        for other in list(self.processes.values()):
+            if isinstance(other.state_machine, executor.RunExecutor):
+                self.lose_link(entry, other)
+                self.lose_link(other, entry)
+
+    def lose_link(self, process, peer):
+        """Tell a process that its link to a peer is lost."""
+
+        def event():
+            requested = process.state_machine.on_link_lost(
+                peer.node, self.instant()
+            )
+            self.perform(process, requested)
+
+        self.deliver(process, event)
+
     def answer(self, process, action):
         """Record the answer to a job."""
         self.answers.setdefault(action.job, []).append(
--- a/testing/decisions/jobs/test_fleet.py
+++ b/testing/decisions/jobs/test_fleet.py
@@ -7,6 +7,7 @@
 from _jasminewind.decisions.jobs import actions
 from _jasminewind.decisions.jobs import executor as executors
 from _jasminewind.decisions.jobs import leases
+from _jasminewind.messages import runs
 from testing.decisions.jobs import cluster as clusters
 
 
@@ -106,6 +107,73 @@
     assert cluster.states()[1][-1] == "completed"
 
 
+@pytest.mark.parametrize("after_s", [0.0, 0.05, 0.2, 0.4])
+def test_a_stop_that_is_lost_with_its_link_is_repeated(cluster, after_s):
+    """Guards against a run that goes on after its caller has left.
+
+    The caller's connection and the links of its entry break together. The
+    links are back before the grant of the entry expires.
+    """
+    spec = clusters.job(1, work_s=4.0)
+    cluster.submit("entry-0", spec)
+    cluster.run(0.5)
+    cluster.disconnect("entry-0", spec.job)
+    cluster.reset_links("entry-0")
+    for agent in cluster.endpoints:
+        cluster.partitions.add(("entry-0", agent))
+    cluster.run(after_s)
+    cluster.partitions.clear()
+    cluster.run(1.3 - after_s)
+    cluster.submit("entry-1", spec)
+    cluster.run(6.0)
+    assert not cluster.violations()
+    assert cluster.states() == {1: ["cancelled", "completed"]}
+
+
+def test_a_lost_report_of_a_stopped_run_is_repeated(cluster):
+    """Guards against a job that waits for a run which has ended.
+
+    The caller returns to the same entry, and the report of the first run is
+    lost with the link.
+    """
+    spec = clusters.job(1, work_s=2.0)
+    cluster.submit("entry-0", spec)
+    cluster.run(0.5)
+    for agent in cluster.endpoints:
+        cluster.partitions.add((agent, "entry-0"))
+    cluster.disconnect("entry-0", spec.job)
+    cluster.run(0.2)
+    cluster.partitions.clear()
+    cluster.submit("entry-0", spec)
+    cluster.run(2.8)
+    assert cluster.states() == {1: ["cancelled", "completed"]}
+    assert not cluster.violations()
+
+
+def test_a_stop_goes_before_the_start_that_extends_its_grant(cluster):
+    """Guards against starts that keep a run alive whose stop was lost.
+
+    No acknowledgement of a heartbeat arrives, only orders of other jobs.
+    """
+    spec = clusters.job(1, count=1, work_s=4.0)
+    cluster.submit("entry-0", spec)
+    cluster.run(0.5)
+    owner = cluster.processes["entry-0"].state_machine
+    (name,) = [n for n, e in cluster.endpoints.items() if e.running]
+    node = cluster.processes[name].node
+    cluster.partitions.add(("entry-0", name))
+    cluster.disconnect("entry-0", spec.job)
+    submitted = owner.submit(clusters.job(2, count=9), cluster.instant())
+    batches = [
+        action.message
+        for action in submitted
+        if getattr(action, "to", None) == node
+        and isinstance(action.message, runs.StartRuns)
+    ]
+    assert batches
+    assert all(len(batch.stops) == 1 for batch in batches)
+
+
 def test_a_job_can_be_resubmitted_after_its_caller_disconnects(cluster):
     """Guards against overlapping runs after a connection reset."""
     cluster.submit("entry-0", clusters.job(1, work_s=4.0))
--- a/testing/decisions/jobs/test_fleet_fuzz.py
+++ b/testing/decisions/jobs/test_fleet_fuzz.py
@@ -88,6 +88,15 @@
             self.disconnect_callers(name)
         self.cluster.pause(name, for_s)
 
+    @stateful.rule(
+        name=strategies.sampled_from(ENTRIES), callers=strategies.booleans()
+    )
+    def reset_connections(self, name, callers):
+        """Reset the links of an entry, and its callers' connections too."""
+        if callers:
+            self.disconnect_callers(name)
+        self.cluster.reset_links(name)
+
     @stateful.rule(name=strategies.sampled_from(ENTRIES))
     def restart_entry(self, name):
         """Kill and restart an entry."""
