Visit each dependency of a job's steps once

What callers saw: no answer from any entry. One valid job of 30 steps, each after all earlier ones, hung the entry that took it; its client then sent it to the next one. A chain of 10,000 steps was answered with 500.

Cause: Job.remaining_path_s visited every path through the steps, for each task that was queued and for each that was demoted.

Ruled out: decoding and validation (linear in the body), placement (one task of the job is ready at a time).

StepGraph computes the paths once in the order of the steps. The same cause on related paths: take_ready_tasks read all dependencies of the job after each step, critical_path_s was computed at each tick, and is_below_limit walked over all tasks of the job for each agent.

--- a/src/_jasminewind/decisions/jobs/admission.py
+++ b/src/_jasminewind/decisions/jobs/admission.py
@@ -48,9 +48,9 @@
     """
     wait_s = demand.wait_s()
     limit_s = min(job.overdue_s, job.caller_deadline_s) - now_s
-    if wait_s + job.spec.critical_path_s() <= limit_s:
+    if wait_s + job.spec.critical_path_s <= limit_s:
         return None
-    excess_s = wait_s + job.spec.critical_path_s() - limit_s
+    excess_s = wait_s + job.spec.critical_path_s - limit_s
     return Refusal(
         reason=(
             f"{demand.queued_core_s:.0f} core-seconds of work are queued, "
--- a/src/_jasminewind/decisions/jobs/owner.py
+++ b/src/_jasminewind/decisions/jobs/owner.py
@@ -172,7 +172,7 @@
             spec.job,
             f"queue {spec.queue.name}, "
             f"{sum(s.count for s in spec.steps)} tasks, critical path "
-            f"{spec.critical_path_s():.3f} s, due in "
+            f"{spec.critical_path_s:.3f} s, due in "
             f"{job.due_s - now.mono_s:.3f} s, wait {demand.wait_s():.3f} s",
         )
         if spec.job in self.unfinished_runs:
@@ -338,7 +338,7 @@
         wait_s = max(agents.QUERY_FACTOR * expected_s, agents.QUERY_PERIOD_S)
         now_s = now.mono_s
         run = tracking.Run(key, task, agent, now_s, now_s + wait_s)
-        task.run = run
+        task.begin_run(run)
         job.has_started = True
         agent.add_run(run)
         self.pending_starts[agent.node].append(
@@ -502,7 +502,7 @@
             )
         latest_start_s = (
             min(job.overdue_s, job.caller_deadline_s)
-            - job.spec.critical_path_s()
+            - job.spec.critical_path_s
         )
         if job.has_started or now.mono_s < latest_start_s:
             return None
@@ -539,7 +539,7 @@
         task = run.task
         agent = run.agent
         agent.remove_run(run.key)
-        task.run = None
+        task.end_run()
         self.meter.add(metrics.RUNS_ENDED, outcome=end.outcome.value)
         if end.checkpoint and task.step_spec.can_checkpoint:
             task.checkpoint = end.checkpoint
--- a/src/_jasminewind/decisions/jobs/placement.py
+++ b/src/_jasminewind/decisions/jobs/placement.py
@@ -156,13 +156,7 @@
 
 def is_below_limit(task: tracking.Task, agent: agents.Agent) -> bool:
     """Tell whether an agent may run one more task of the same step."""
-    running_siblings = sum(
-        1
-        for other in task.job.tasks
-        if other.step == task.step
-        and other.run is not None
-        and other.run.agent is agent
-    )
+    running_siblings = task.job.run_counts[task.step, agent.node]
     return running_siblings < task.step_spec.max_per_endpoint
 
 
--- a/src/_jasminewind/decisions/jobs/specs.py
+++ b/src/_jasminewind/decisions/jobs/specs.py
@@ -2,8 +2,10 @@
 
 import dataclasses
 import enum
+import functools
 
 from _jasminewind import resources
+from _jasminewind.decisions.jobs import step_graph
 
 # A job is answered as a whole by one entry, which has to track all its tasks.
 # The largest job of the requirements has 110 tasks.
@@ -97,13 +99,18 @@
     steps: tuple[Step, ...]
     caller_timeout_s: float = 0.0
 
+    @functools.cached_property
+    def graph(self) -> step_graph.StepGraph:
+        """Return the dependencies between the steps."""
+        return step_graph.StepGraph.from_dependencies(
+            [step.after for step in self.steps],
+            [step.estimate_s for step in self.steps],
+        )
+
+    @functools.cached_property
     def critical_path_s(self) -> float:
         """Return the estimated run time of the longest chain of steps."""
-        ends: list[float] = []
-        for step in self.steps:
-            begin_s = max((ends[i] for i in step.after), default=0.0)
-            ends.append(begin_s + step.estimate_s)
-        return max(ends, default=0.0)
+        return self.graph.critical_path_s
 
 
 class JobState(enum.StrEnum):
--- a/src/_jasminewind/decisions/jobs/tracking.py
+++ b/src/_jasminewind/decisions/jobs/tracking.py
@@ -1,8 +1,10 @@
 """State of jobs, tasks and runs at the entry that owns them."""
 
+import collections
 import dataclasses
 import typing
 
+from _jasminewind import members
 from _jasminewind.decisions.jobs import specs
 from _jasminewind.messages import runs
 
@@ -45,6 +47,17 @@
         self.is_done = False
         self.run: Run | None = None
 
+    def begin_run(self, run: "Run") -> None:
+        """Record a run of the task."""
+        self.run = run
+        self.job.run_counts[self.step, run.agent.node] += 1
+
+    def end_run(self) -> None:
+        """Record that the run of the task has ended."""
+        if self.run is not None:
+            self.job.run_counts[self.step, self.run.agent.node] -= 1
+            self.run = None
+
     def counted_failures(self) -> int:
         """Return how many failures count against the task."""
         return sum(
@@ -83,51 +96,60 @@
         self.spec = spec
         self.arrived_s = now_s
         goal_s = (
-            spec.queue.stretch * spec.critical_path_s()
-            + spec.queue.allowance_s
+            spec.queue.stretch * spec.critical_path_s + spec.queue.allowance_s
         )
         self.due_s = now_s + goal_s
         self.overdue_s = now_s + LATE_FACTOR * goal_s
         self.caller_deadline_s = float("inf")
         if spec.caller_timeout_s:
             self.caller_deadline_s = now_s + spec.caller_timeout_s
-        self.unfinished = [step.count for step in spec.steps]
-        self.step_opened = [False] * len(spec.steps)
+        # For each step: tasks that are not done, and steps it waits for.
+        self.unfinished_tasks = [step.count for step in spec.steps]
+        self.open_prerequisites = list(spec.graph.prerequisite_counts)
+        self.unfinished_steps = len(spec.steps)
+        self.ready_steps = [
+            number
+            for number, count in enumerate(self.open_prerequisites)
+            if not count
+        ]
         self.tasks: list[Task] = []
+        # Runs by step and agent.
+        self.run_counts: collections.Counter[tuple[int, members.NodeId]] = (
+            collections.Counter()
+        )
         self.has_started = False
         self.is_answered = False
         self.answer: specs.JobAnswer | None = None
 
     def take_ready_tasks(self) -> list[Task]:
         """Create the tasks of the steps that are ready, and return them."""
-        ready = []
-        for number, step in enumerate(self.spec.steps):
-            if self.step_opened[number]:
-                continue
-            if any(self.unfinished[earlier] for earlier in step.after):
-                continue
-            self.step_opened[number] = True
-            ready += [Task(self, number, i) for i in range(step.count)]
+        steps, self.ready_steps = self.ready_steps, []
+        ready = [
+            Task(self, number, index)
+            for number in steps
+            for index in range(self.spec.steps[number].count)
+        ]
         self.tasks += ready
         return ready
 
     def mark_done(self, task: Task) -> bool:
         """Mark a task as done; tell whether its whole step is."""
         task.is_done = True
-        self.unfinished[task.step] -= 1
-        return not self.unfinished[task.step]
+        self.unfinished_tasks[task.step] -= 1
+        if self.unfinished_tasks[task.step]:
+            return False
+        self.unfinished_steps -= 1
+        for later in self.spec.graph.dependents[task.step]:
+            self.open_prerequisites[later] -= 1
+            if not self.open_prerequisites[later]:
+                self.ready_steps.append(later)
+        return True
 
     @property
     def is_complete(self) -> bool:
         """Tell whether every task is done."""
-        return not any(self.unfinished)
+        return not self.unfinished_steps
 
     def remaining_path_s(self, step: int) -> float:
         """Return the estimated time from the start of a step to the end."""
-        after = [
-            self.remaining_path_s(later)
-            for later, step_spec in enumerate(self.spec.steps)
-            if step in step_spec.after
-        ]
-        own_s = self.spec.steps[step].estimate_s
-        return own_s + max(after, default=0.0)
+        return self.spec.graph.remaining_path_s[step]
--- a/src/_jasminewind/nodes/job_entry.py
+++ b/src/_jasminewind/nodes/job_entry.py
@@ -218,7 +218,7 @@
             return ""
         passed_s = self.timers.clock.seconds() - self.shutdown_start_s
         needed_s = (
-            SHUTDOWN_RUN_TIME_FACTOR * spec.critical_path_s()
+            SHUTDOWN_RUN_TIME_FACTOR * spec.critical_path_s
             + SHUTDOWN_PLACEMENT_MARGIN_S
         )
         if passed_s + needed_s <= self.shutdown_limit_s:
