Assign at most 200 tasks in one pass

What callers would see: a job of 10,000 tasks, the most that is allowed, kept its entry busy for 0.82 s in one turn of the reactor on this machine, with 56 agents; on a machine with 0.4 cores that is longer than the grant of 0.7 s, so that the runs of all its other jobs would be stopped.

A pass now ends after 200 assignments, and the next message or tick goes on.

--- a/src/_jasminewind/decisions/jobs/scheduler.py
+++ b/src/_jasminewind/decisions/jobs/scheduler.py
@@ -12,6 +12,9 @@
 # Queued tasks that a pass skips because no agent has capacity for them now,
 # so that smaller tasks behind them can start.
 MAX_SKIPPED_TASKS = 16
+# Tasks that one pass assigns. The next pass, after the next message or tick,
+# goes on, so that a job of thousands of tasks does not delay heartbeats.
+MAX_ASSIGNMENTS = 200
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -71,12 +74,17 @@
 
         The caller reserves the capacity of each before it asks for the next.
         """
+        if scan.assignments >= MAX_ASSIGNMENTS:
+            self.end_pass(scan)
+            self.has_new_tasks = True
+            return None
         while len(scan.skipped) < MAX_SKIPPED_TASKS:
             task = self.backlog.pop(scan.now_s)
             if task is None:
                 break
             candidates = scan.candidates(task)
             if candidates:
+                scan.assignments += 1
                 preferred = placement.prefer_untried(task, candidates)
                 return Assignment(
                     task=task,
@@ -84,9 +92,13 @@
                     candidate_count=len(candidates),
                 )
             scan.skipped.append(task)
+        self.end_pass(scan)
+        return None
+
+    def end_pass(self, scan: "Scan") -> None:
+        """Queue the tasks again that a pass has skipped."""
         for task in scan.skipped:
             self.backlog.push(task)
-        return None
 
     def begin_pass(self, now: core.Instant) -> "Scan":
         """Begin a pass over the agents that need to be examined."""
@@ -105,6 +117,7 @@
 
     now_s: float
     usable: list[agents.Agent]
+    assignments: int = 0
     skipped: list[tracking.Task] = dataclasses.field(default_factory=list)
 
     def candidates(self, task: tracking.Task) -> list[agents.Agent]:
--- a/testing/decisions/jobs/test_fleet.py
+++ b/testing/decisions/jobs/test_fleet.py
@@ -4,12 +4,17 @@
 
 import pytest
 
+from _jasminewind import resources
 from _jasminewind.decisions.jobs import actions
 from _jasminewind.decisions.jobs import executor as executors
 from _jasminewind.decisions.jobs import leases
+from _jasminewind.decisions.jobs import scheduler
+from _jasminewind.decisions.jobs import specs
 from _jasminewind.messages import runs
 from testing.decisions.jobs import cluster as clusters
 
+NOTHING = resources.NOTHING
+
 
 def test_a_job_is_answered_once_when_all_its_tasks_are_done(cluster):
     """Guards against answers that are early, partial or repeated."""
@@ -35,6 +40,28 @@
     assert cluster.states() == {2: ["completed"]}
 
 
+def test_the_largest_job_is_placed_in_parts(cluster):
+    """Guards against heartbeats that wait while thousands of tasks start."""
+    spec = clusters.job(1, count=specs.MAX_TASKS, work_s=0.05, cores=0.0)
+    spec = dataclasses.replace(
+        spec, steps=(dataclasses.replace(spec.steps[0], need=NOTHING),)
+    )
+    owner = cluster.processes["entry-0"].state_machine
+    order_run = owner.order_run
+    placed = []
+
+    def count(assignment, now):
+        placed.append(cluster.now_s)
+        order_run(assignment, now)
+
+    owner.order_run = count
+    cluster.submit("entry-0", spec)
+    assert len(placed) <= scheduler.MAX_ASSIGNMENTS
+    cluster.run(5.0)
+    assert len(placed) == specs.MAX_TASKS
+    assert cluster.states() == {1: ["completed"]}
+
+
 def test_work_beyond_the_capacity_is_queued(cluster):
     """Guards against overcommitting endpoints, which start any run."""
     for number in range(20):
