Pass over rows that cannot be used, one by one

What callers would see: no service from processes that start or change while a row of another writer, nested 100,000 deep, is in the table of members. Every entry and agent failed to take note of any change of that table from then on.

Cause: the decoder of rows let a RecursionError pass, which ended the update of the whole list. A port of 70,000 was accepted, and raised an exception where the link was opened, which took the heartbeats to other entries with it.

Ruled out by tests that passed before: nested text in bodies and frames.

json_input.decode is the one decoder of other writers' text, and EntryRegistry decodes each row by itself when it changes, checks addresses, logs and counts what it passes over. LinkedNode.perform executes the other actions if one raises. Related paths: the product's own registry, its configuration row, settings files, the port of a heartbeat's address (a ValueError for thousands of digits).

--- a/src/_jasminewind/announcements.py
+++ b/src/_jasminewind/announcements.py
@@ -6,6 +6,7 @@
 import result
 
 from _jasminewind import errors
+from _jasminewind import json_input
 from _jasminewind import members
 from _jasminewind import resources
 
@@ -47,11 +48,11 @@
     """Decode and check an announcement."""
     try:
         announcement = DECODER.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as e:
+    except json_input.MALFORMED as e:
         return result.Err(
             errors.WireError(reason=f"malformed announcement: {e}")
         )
-    if not 0 < announcement.port < 65536:
+    if not members.is_valid_port(announcement.port):
         return result.Err(
             errors.WireError(
                 reason=(
--- a/src/_jasminewind/decisions/entry_config_sync.py
+++ b/src/_jasminewind/decisions/entry_config_sync.py
@@ -2,11 +2,10 @@
 
 import random
 
-import msgspec
-
 from _jasminewind import configuration
 from _jasminewind import errors
 from _jasminewind import ids
+from _jasminewind import json_input
 from _jasminewind import members
 from _jasminewind.decisions import cells
 from _jasminewind.decisions import config_sync
@@ -38,8 +37,6 @@
 # while others register and change the configuration.
 MIN_CONFIRMERS = 2
 
-CONFIG_DECODER = msgspec.json.Decoder(configuration.Configuration)
-
 
 class EntryConfigSync(config_sync.ConfigSync):
     """Reads the row, writes proposals and announces versions to cells."""
@@ -479,8 +476,6 @@
             continue
         if row.version == 0:
             return configuration.NO_CONFIGURATION, 0
-        try:
-            return CONFIG_DECODER.decode(row.value), row.version
-        except msgspec.MsgspecError:
-            return None
+        config = json_input.decode(row.value, configuration.Configuration)
+        return (config.unwrap(), row.version) if config.is_ok() else None
     return None
--- a/src/_jasminewind/decisions/entry_registry.py
+++ b/src/_jasminewind/decisions/entry_registry.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from _jasminewind import errors
+from _jasminewind import json_input
 from _jasminewind import members
 from _jasminewind.decisions import core
 
@@ -36,9 +37,6 @@
     changed_s: float
 
 
-ROW_DECODER = msgspec.json.Decoder(EntryRow)
-
-
 class Registry:
     """One entry's view of the registered entries.
 
@@ -157,9 +155,11 @@
         known = self.observed.get(row.key)
         if known is not None and known.version == row.version:
             return
-        try:
-            value = ROW_DECODER.decode(row.value)
-        except msgspec.MsgspecError:
+        decoded = json_input.decode(row.value, EntryRow)
+        if decoded.is_err():
+            return
+        value = decoded.unwrap()
+        if not members.is_valid_address(value.contact.address):
             return
         self.observed[row.key] = ObservedRow(
             row=value, version=row.version, changed_s=now.mono_s
--- a/src/_jasminewind/decisions/jobs/registry.py
+++ b/src/_jasminewind/decisions/jobs/registry.py
@@ -1,11 +1,13 @@
 """Service discovery: rows of the store that register each process."""
 
+import collections.abc
 import dataclasses
 
 import msgspec
 import result
 
 from _jasminewind import errors
+from _jasminewind import json_input
 from _jasminewind import members
 from _jasminewind.messages import runs
 
@@ -15,6 +17,8 @@
 # process of the agent reads it, so that a change of one endpoint is not
 # delivered to the whole fleet.
 AGENT_TABLE = "agents"
+# Latest Unix time of a start that is believed: the year 2286.
+MAX_TIME_MS = 10**13
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -60,45 +64,99 @@
     address: members.Address
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UnusableRow:
+    """A row that registers no process, and why."""
+
+    name: str
+    reason: str
+
+
 def encode(registration: Registration) -> bytes:
     """Encode a registration as the value of a row."""
     return msgspec.json.encode(registration)
 
 
 def decode(value: bytes) -> result.Result[Registration, errors.WireError]:
-    """Decode the value of a row."""
-    try:
-        return result.Ok(msgspec.json.decode(value, type=Registration))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as e:
-        return result.Err(
-            errors.WireError(reason=f"malformed registration: {e}")
-        )
+    """Decode the value of a row, which any process may have written."""
+    return json_input.decode(value, Registration).and_then(check)
 
 
-def entries(
-    rows: dict[str, bytes], own: members.Address
-) -> tuple[EntryAddress, ...]:
-    """Return all registered entries except the one at ``own``.
+def check(
+    registration: Registration,
+) -> result.Result[Registration, errors.WireError]:
+    """Return the registration, or which value of it cannot be used."""
+    mistake = find_mistake(registration)
+    if mistake:
+        return result.Err(errors.WireError(reason=mistake))
+    return result.Ok(registration)
 
-    A replaced machine may leave the row of another name with its address;
-    the process that started last is used.
+
+def find_mistake(registration: Registration) -> str:
+    """Return which value cannot be used, empty if all can."""
+    if not members.is_valid_address(registration.address):
+        return f"no process can listen at {registration.address}"
+    if not 0 <= registration.started_ms <= MAX_TIME_MS:
+        return "started_ms is out of range"
+    endpoint = registration.endpoint
+    if endpoint is not None and not members.is_valid_address(endpoint.address):
+        return f"no endpoint can listen at {endpoint.address}"
+    return ""
+
+
+class EntryRegistry:
+    """The entries that the rows of the table register.
+
+    Each row is decoded when it changes. A row that cannot be used is passed
+    over and does not affect the others.
     """
-    by_address: dict[members.Address, tuple[int, str]] = {}
-    for name, value in rows.items():
-        decoded = decode(value)
-        if decoded.is_err():
-            continue
-        registration = decoded.unwrap()
-        if registration.role is members.Role.ENTRY:
-            address = registration.address
-            started = (registration.started_ms, name)
-            by_address[address] = max(
-                started, by_address.get(address, (0, ""))
+
+    def __init__(self, own: members.Address) -> None:
+        """Leave out the entry at the address ``own``."""
+        self.own = own
+        self.values: dict[str, bytes] = {}
+        self.registrations: dict[str, Registration] = {}
+
+    def update(
+        self, rows: collections.abc.Mapping[str, bytes]
+    ) -> list[UnusableRow]:
+        """Read the changed rows; return those that cannot be used."""
+        unusable = []
+        for name in [name for name in self.values if name not in rows]:
+            del self.values[name]
+            self.registrations.pop(name, None)
+        for name, value in rows.items():
+            if self.values.get(name) == value:
+                continue
+            self.values[name] = value
+            decoded = decode(value)
+            if decoded.is_ok():
+                self.registrations[name] = decoded.unwrap()
+            else:
+                self.registrations.pop(name, None)
+                unusable.append(
+                    UnusableRow(name=name, reason=decoded.unwrap_err().reason)
+                )
+        return unusable
+
+    def entries(self) -> tuple[EntryAddress, ...]:
+        """Return all registered entries except the own one.
+
+        A replaced machine may leave the row of another name with its address;
+        the process that started last is used.
+        """
+        by_address: dict[members.Address, tuple[int, str]] = {}
+        for name, registration in self.registrations.items():
+            if registration.role is members.Role.ENTRY:
+                address = registration.address
+                started = (registration.started_ms, name)
+                by_address[address] = max(
+                    started, by_address.get(address, (0, ""))
+                )
+        by_address.pop(self.own, None)
+        return tuple(
+            sorted(
+                EntryAddress(name, address)
+                for address, (_, name) in by_address.items()
             )
-    by_address.pop(own, None)
-    return tuple(
-        sorted(
-            EntryAddress(name, address)
-            for address, (_, name) in by_address.items()
         )
-    )
--- a/src/_jasminewind/decisions/ownership.py
+++ b/src/_jasminewind/decisions/ownership.py
@@ -9,10 +9,9 @@
 import dataclasses
 import random
 
-import msgspec
-
 from _jasminewind import configuration
 from _jasminewind import ids
+from _jasminewind import json_input
 from _jasminewind import members
 from _jasminewind import shards
 from _jasminewind.decisions import cell_state
@@ -558,5 +557,5 @@
         return None
     try:
         return rows.decode(table_row.value)
-    except msgspec.DecodeError:
+    except json_input.MALFORMED:
         return None
--- a/src/_jasminewind/decisions/rows.py
+++ b/src/_jasminewind/decisions/rows.py
@@ -26,7 +26,7 @@
 
 
 def decode(text: str) -> shards.ShardRow:
-    """Return the row in ``text``; raise ``msgspec.DecodeError`` if invalid."""
+    """Return the row; raise ``json_input.MALFORMED`` if it is none."""
     return msgspec.json.decode(text, type=shards.ShardRow)
 
 
--- a/src/_jasminewind/job_settings.py
+++ b/src/_jasminewind/job_settings.py
@@ -2,11 +2,13 @@
 
 import dataclasses
 import pathlib
+import re
 import typing
 
 import msgspec
 import result
 
+from _jasminewind import json_input
 from _jasminewind import members
 from _jasminewind import settings
 
@@ -104,6 +106,7 @@
     ] = 300
 
 
+PORT_PATTERN = re.compile("[0-9]{1,5}")
 LoadResult = result.Result[JobSettings, settings.SettingsError]
 
 
@@ -116,7 +119,7 @@
     """Return whether a file holds :class:`JobSettings`."""
     try:
         decoded = msgspec.json.decode(path.read_bytes())
-    except (OSError, msgspec.MsgspecError, UnicodeDecodeError):
+    except (OSError, *json_input.MALFORMED):
         return False
     return isinstance(decoded, dict) and "link_port" in decoded
 
@@ -152,8 +155,7 @@
 def address(text: str) -> members.Address | None:
     """Parse ``IP:PORT``; return None if it is invalid."""
     host, _, port = text.rpartition(":")
-    if not settings.is_address(host) or not port.isdecimal():
+    if not PORT_PATTERN.fullmatch(port):
         return None
-    if not 0 < int(port) < 65_536:
-        return None
-    return members.Address(host, int(port))
+    parsed = members.Address(host, int(port))
+    return parsed if members.is_valid_address(parsed) else None
--- a/src/_jasminewind/members.py
+++ b/src/_jasminewind/members.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import ipaddress
 
 from _jasminewind import resources
 
@@ -52,6 +53,25 @@
     port: int
 
 
+def is_valid_host(text: str) -> bool:
+    """Tell whether a text is an IP address, no wildcard or multicast."""
+    try:
+        address = ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return not (address.is_unspecified or address.is_multicast)
+
+
+def is_valid_port(port: int) -> bool:
+    """Tell whether a process can listen at a TCP port."""
+    return 0 < port < 65_536
+
+
+def is_valid_address(address: Address) -> bool:
+    """Tell whether a process can listen at an address."""
+    return is_valid_host(address.host) and is_valid_port(address.port)
+
+
 # Receiver at a seed address, whose name is unknown before its Hello: the link
 # is selected by the address alone.
 UNNAMED = NodeId("", 0)
--- a/src/_jasminewind/metrics.py
+++ b/src/_jasminewind/metrics.py
@@ -187,6 +187,9 @@
 UNEXPECTED_ERRORS = counter(
     "errors.unexpected", "{error}", "Events lost to an unexpected exception."
 )
+UNUSABLE_ROWS = counter(
+    "rows.unusable", "{row}", "Rows of the table that register no process."
+)
 STARTS_UNANSWERED = counter(
     "starts.unanswered", "{call}", "Starts that the endpoint did not answer."
 )
--- a/src/_jasminewind/nodes/job_agent.py
+++ b/src/_jasminewind/nodes/job_agent.py
@@ -13,8 +13,7 @@
 from _jasminewind.decisions.jobs import endpoint_selection
 from _jasminewind.decisions.jobs import executor
 from _jasminewind.decisions.jobs import registry
-from _jasminewind.nodes import job_links
-from _jasminewind.nodes import linked_node
+from _jasminewind.nodes import job_node
 
 
 class EndpointClient(abc.ABC):
@@ -53,7 +52,7 @@
 ]
 
 
-class JobAgent(linked_node.LinkedNode):
+class JobAgent(job_node.JobNode):
     """Executes the runs that entries order on one endpoint."""
 
     def __init__(
@@ -65,7 +64,7 @@
         **options: typing.Any,
     ) -> None:
         """Create clients with ``connect``; ``on_endpoint`` stores changes."""
-        super().__init__(timeouts=job_links.TIMEOUTS, **options)
+        super().__init__(**options)
         self.connect = connect
         self.on_endpoint = on_endpoint
         self.read_services = read_services
@@ -96,9 +95,8 @@
 
     def set_members(self, rows: dict[str, bytes]) -> None:
         """Update the entries from the rows of registered processes."""
-        self.executor.set_entries(
-            registry.entries(rows, self.member.address), self.timers.now()
-        )
+        self.update_registry(rows)
+        self.executor.set_entries(self.registry.entries(), self.timers.now())
 
     def restore(self, row: bytes) -> None:
         """Resume the endpoint of this agent's previous process.
--- a/src/_jasminewind/nodes/job_entry.py
+++ b/src/_jasminewind/nodes/job_entry.py
@@ -12,10 +12,8 @@
 from _jasminewind.decisions.jobs import cancellation
 from _jasminewind.decisions.jobs import intake
 from _jasminewind.decisions.jobs import owner
-from _jasminewind.decisions.jobs import registry
 from _jasminewind.decisions.jobs import specs
-from _jasminewind.nodes import job_links
-from _jasminewind.nodes import linked_node
+from _jasminewind.nodes import job_node
 
 # During shutdown, an entry accepts a job only if this multiple of its
 # estimated run time plus the margin for placement remains until the process
@@ -51,7 +49,7 @@
         """Answer every caller that waits for a job."""
 
 
-class JobEntry(linked_node.LinkedNode):
+class JobEntry(job_node.JobNode):
     """Owns the jobs that callers submit to this entry.
 
     ``answer_sink`` must be set before the first job arrives.
@@ -68,7 +66,7 @@
         **options: typing.Any,
     ) -> None:
         """Create an entry with the placement policy named ``placement``."""
-        super().__init__(timeouts=job_links.TIMEOUTS, **options)
+        super().__init__(**options)
         self.config = specs.NO_CONFIGURATION
         self.configuration_waiters: list[defer.Deferred[None]] = []
         self.is_starting = True
@@ -93,9 +91,9 @@
 
     def set_members(self, rows: dict[str, bytes]) -> None:
         """Update the known entries from the rows of registered processes."""
+        self.update_registry(rows)
         self.cancellation.entries = tuple(
-            entry.address
-            for entry in registry.entries(rows, self.member.address)
+            entry.address for entry in self.registry.entries()
         )
 
     def set_configuration(self, config: specs.JobConfiguration) -> None:
--- a/src/_jasminewind/nodes/linked_node.py
+++ b/src/_jasminewind/nodes/linked_node.py
@@ -101,11 +101,17 @@
     def perform(
         self, machine: core.StateMachine, actions: core.Actions
     ) -> None:
-        """Execute the actions that ``machine`` returned, in order."""
+        """Execute the actions that ``machine`` returned, in order.
+
+        One that fails does not keep the others from being executed.
+        """
         self.links.begin_batch()
         try:
             for action in actions:
-                self.handlers[type(action)](machine, action)
+                try:
+                    self.handlers[type(action)](machine, action)
+                except Exception as error:
+                    self.on_unexpected_error(type(action).__name__, error)
         finally:
             self.links.end_batch()
 
@@ -123,12 +129,16 @@
         try:
             self.perform(machine, decide())
         except Exception as error:
-            self.meter.add(metrics.UNEXPECTED_ERRORS)
-            self.log.error(
-                "unexpected exception; please report it",
-                during=event,
-                exc_info=error,
-            )
+            self.on_unexpected_error(event, error)
+
+    def on_unexpected_error(self, event: str, error: Exception) -> None:
+        """Log and count an exception of this program."""
+        self.meter.add(metrics.UNEXPECTED_ERRORS)
+        self.log.error(
+            "unexpected exception; please report it",
+            during=event,
+            exc_info=error,
+        )
 
     def link_message(self, sender: members.NodeId, message: object) -> None:
         """Dispatch a message to the state machines that handle its type."""
--- a/src/_jasminewind/platform/bodies.py
+++ b/src/_jasminewind/platform/bodies.py
@@ -7,9 +7,8 @@
 import typing
 
 import msgspec
-import result
 
-from _jasminewind import errors
+from _jasminewind import json_input
 from _jasminewind import resources
 from _jasminewind.decisions.jobs import actions
 from _jasminewind.decisions.jobs import specs
@@ -28,7 +27,7 @@
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
 
-T = typing.TypeVar("T")
+decode = json_input.decode
 
 
 class Body(msgspec.Struct, rename="kebab", kw_only=True):
@@ -39,14 +38,6 @@
     """Base of bodies that omit fields with default values."""
 
 
-def decode(data: bytes, kind: type[T]) -> result.Result[T, errors.WireError]:
-    """Return the decoded body, or why it is invalid."""
-    try:
-        return result.Ok(msgspec.json.decode(data, type=kind))
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as e:
-        return result.Err(errors.WireError(reason=f"malformed body: {e}"))
-
-
 # Jobs
 
 
--- a/src/_jasminewind/platform/http.py
+++ b/src/_jasminewind/platform/http.py
@@ -11,6 +11,7 @@
 from twisted.internet import error as net_error
 from twisted.python import failure
 
+from _jasminewind import json_input
 from _jasminewind.platform import exchanges
 
 JSON_HEADERS = {"content-type": "application/json"}
@@ -191,7 +192,7 @@
         if status == protocol.OK:
             return result.Ok(msgspec.json.decode(body, type=kind))
         refused = msgspec.json.decode(body, type=protocol.Refused)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as e:
+    except json_input.MALFORMED as e:
         return result.Err(
             CallError(
                 failure=CallFailure.UNKNOWN,
--- a/src/_jasminewind/settings.py
+++ b/src/_jasminewind/settings.py
@@ -4,7 +4,6 @@
 import dataclasses
 import difflib
 import enum
-import ipaddress
 import json
 import pathlib
 import re
@@ -14,6 +13,7 @@
 import msgspec
 import result
 
+from _jasminewind import json_input
 from _jasminewind import members
 
 NAME_PATTERN = "^[A-Za-z0-9][A-Za-z0-9._-]{0,119}$"
@@ -292,7 +292,7 @@
     """
     try:
         decoded = msgspec.json.decode(text)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as e:
+    except json_input.MALFORMED as e:
         mistake = Mistake(path="file", reason=f"not valid JSON: {e}")
         return result.Err(SettingsError(mistakes=(mistake,)))
     mistakes = list(check_object("", decoded, kind))
@@ -358,7 +358,7 @@
     except msgspec.ValidationError:
         yield mismatch(path, value, field)
         return
-    if "address" in field.unit and not is_address(value):
+    if "address" in field.unit and not members.is_valid_host(value):
         yield mismatch(path, value, field)
 
 
@@ -370,15 +370,6 @@
     return Mistake(path=path, reason=f"is {shown}, need {field.expected}")
 
 
-def is_address(text: str) -> bool:
-    """Return whether ``text`` is an IP address, no wildcard or multicast."""
-    try:
-        address = ipaddress.ip_address(text)
-    except ValueError:
-        return False
-    return not (address.is_unspecified or address.is_multicast)
-
-
 def find_conflicts(
     settings: Settings,
 ) -> collections.abc.Iterator[Mistake]:
--- a/src/_jasminewind/wire/frames.py
+++ b/src/_jasminewind/wire/frames.py
@@ -7,6 +7,7 @@
 import result
 
 from _jasminewind import errors
+from _jasminewind import json_input
 from _jasminewind.messages import registry
 
 MAX_FRAME_BYTES = 1 << 20
@@ -56,5 +57,5 @@
         decoder = body_decoder(envelope.type)
         assert decoder is not None
         return result.Ok(decoder.decode(envelope.body))
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as e:
+    except json_input.MALFORMED as e:
         return result.Err(errors.WireError(reason=f"malformed frame: {e}"))
--- a/testing/decisions/fleet.py
+++ b/testing/decisions/fleet.py
@@ -7,6 +7,8 @@
 import itertools
 import random
 
+import msgspec
+
 from _jasminewind import configuration
 from _jasminewind import errors
 from _jasminewind import members
@@ -144,7 +146,9 @@
             )
             if action.key == configuration.CONFIG_KEY:
                 self.history.append(
-                    entry_config_sync.CONFIG_DECODER.decode(action.value)
+                    msgspec.json.decode(
+                        action.value, type=configuration.Configuration
+                    )
                 )
         if self.loses_write_replies:
             return _failed(action, errors.TableFailure.UNKNOWN)
@@ -267,7 +271,7 @@
                 tag="test",
                 key=configuration.CONFIG_KEY,
                 expected_version=0,
-                value=entry_config_sync.msgspec.json.encode(value).decode(),
+                value=msgspec.json.encode(value).decode(),
             )
         )
         assert reply.error is None
--- a/testing/platform/test_entry_and_agent.py
+++ b/testing/platform/test_entry_and_agent.py
@@ -14,12 +14,14 @@
 from _jasminewind.platform import daemon
 from _jasminewind.platform import http
 from testing import reactor
+from testing.decisions.jobs import test_registry
 from testing.platform import fake_platform
 
 ALLOCATOR = ports.PortAllocator()
 HOST = "127.0.0.1"
 HEADERS = {"host": "orders.example", "content-type": "application/json"}
 JOB_PATH = "/quotes/5c0e7a21d94b36f8"
+ODD_ROWS = list(test_registry.ODD_VALUES.values())
 OTHER_JOB_PATH = "/quotes/5c0e7a21d94b36f9"
 
 
@@ -54,14 +56,15 @@
         """Return the address of a port."""
         return f"{HOST}:{self.ports[name]}"
 
-    async def start(self):
-        """Start the fakes and both processes."""
+    async def start(self, *, has_entry=True):
+        """Start the fakes, the entry unless told otherwise, and the agent."""
         for name, root in (("store", self.store), ("machine", self.machine)):
             endpoint = endpoints.TCP4ServerEndpoint(
                 reactor.reactor, self.ports[name], interface=HOST
             )
             self.opened.append(await endpoint.listen(server.Site(root)))
-        self.start_entry()
+        if has_entry:
+            self.start_entry()
         self.start_agent()
 
     def start_entry(self):
@@ -427,6 +430,41 @@
     assert reactor.run(announce) is None
 
 
+@pytest.mark.parametrize("is_early", [True, False])
+def test_odd_rows_among_the_members_do_not_disturb_a_system(is_early):
+    """Guards against processes that stop following the list of entries.
+
+    The rows are there before the processes start, or come while they run;
+    after that the agent has to find an entry that is new.
+    """
+    odd = {f"odd-{number:02}": value for number, value in enumerate(ODD_ROWS)}
+
+    async def run():
+        started = LocalSystem()
+        try:
+            if is_early:
+                for key, value in odd.items():
+                    started.store.put("members", key, value)
+                    started.store.put("agents", "agent-1", value)
+            await started.start(has_entry=is_early)
+            await reactor.sleep(0.3)
+            if not is_early:
+                for key, value in odd.items():
+                    started.store.put("members", key, value)
+                    await reactor.sleep(0.02)
+                started.start_entry()
+                started.daemons.reverse()
+            await started.wait_until_ready()
+            status, _ = await started.call(
+                b"POST", "callers", JOB_PATH, fake_platform.JOB
+            )
+            return status
+        finally:
+            started.stop()
+
+    assert reactor.run(run) == 200
+
+
 def test_a_restarted_agent_resumes_with_its_endpoint(system):
     """Guards against an endpoint left idle until its next heartbeat."""
 
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -99,6 +99,10 @@
         "Rises: the entry lacks processor time; give it more, or add entries."
     ),
     "errors.unexpected": "Above 0: report the log line with its traceback.",
+    "rows.unusable": (
+        "Above 0: another writer left a row that registers no process. Find "
+        "its key in the log and remove it."
+    ),
     "starts.unanswered": "Rises with `renewals.lost`: see there.",
     "reactor.lag": "p99 above 0.05 s: the process lacks CPU time.",
 }
