Use agents again after a batch of starts was lost with its link

What callers saw: 503 and 504 from all entries, for good. The open links between entries and agents went silent once; they were replaced within 1.4 s, but no agent was used any more.

Cause: an agent that has not acknowledged a batch of starts within 0.5 s gets no more runs until it acknowledges this or a later one. A lost batch is never acknowledged, a lost acknowledgement was not repeated, and an agent whose grant expired had forgotten the batch.

Ruled out: links that stay silent (heartbeats arrive on new ones), agents that the entry has removed (it takes 1.5 s of silence).

A start whose run has ended or will never start waits for no acknowledgement; an agent that is queried acknowledges its last batch again; and a process sends on the newest connection to a peer.

--- a/src/_jasminewind/decisions/jobs/agents.py
+++ b/src/_jasminewind/decisions/jobs/agents.py
@@ -34,6 +34,7 @@
     """A start in batch ``number`` that the reported load may not include."""
 
     number: int
+    key: runs.RunKey
     sent_s: float
     need: resources.Resources
 
@@ -91,15 +92,26 @@
         need = run.task.step_spec.need
         self.unreported_starts.append(
             UnreportedStart(
-                number=self.next_batch, sent_s=run.sent_s, need=need
+                number=self.next_batch,
+                key=run.key,
+                sent_s=run.sent_s,
+                need=need,
             )
         )
         self.free -= need
 
     def remove_run(self, key: runs.RunKey) -> None:
-        """Remove a run that has ended or will never start."""
+        """Remove a run that has ended or will never start.
+
+        The batch that ordered it may be lost, and is acknowledged no more.
+        """
         del self.runs[key]
         self.stops.pop(key, None)
+        for start in self.unreported_starts:
+            if start.key == key:
+                self.unreported_starts.remove(start)
+                self.free += start.need
+                break
 
     def is_usable(self, now_s: float) -> bool:
         """Tell whether new runs may be placed here."""
--- a/src/_jasminewind/decisions/jobs/executor.py
+++ b/src/_jasminewind/decisions/jobs/executor.py
@@ -339,7 +339,12 @@
         message: runs.QueryRuns,
         now: core.Instant,
     ) -> None:
-        """Report which of the queried runs have ended or are unknown."""
+        """Report which of the queried runs have ended or are unknown.
+
+        The owner may also lack the acknowledgement of the others' batch.
+        """
+        self.grants.repeat_batch(sender)
+        self.load_changed = True
         for key in message.keys:
             if key not in self.allocation.runs:
                 self.report_absent(sender, key, now)
--- a/src/_jasminewind/decisions/jobs/grants.py
+++ b/src/_jasminewind/decisions/jobs/grants.py
@@ -94,6 +94,12 @@
         owner.reported_batch = owner.batch
         return owner.batch
 
+    def repeat_batch(self, node: members.NodeId) -> None:
+        """Acknowledge the last batch of an owner again."""
+        owner = self.owners.get(node)
+        if owner is not None:
+            owner.reported_batch = 0
+
     def renew(self, node: members.NodeId, sequence: int, now_s: float) -> bool:
         """Renew the grant of an owner; tell whether the owner is new."""
         self.subset.on_response(node.name, now_s)
--- a/src/_jasminewind/wire/links.py
+++ b/src/_jasminewind/wire/links.py
@@ -180,7 +180,9 @@
             candidates = self.ready_by_address.get(address)
         else:
             candidates = self.ready_by_node.get(to)
-        return candidates[0] if candidates else None
+        # The peer has opened a newer connection because an older one failed
+        # for it. This process may not have noticed that yet.
+        return candidates[-1] if candidates else None
 
     def _report_unsent(self, to: members.NodeId, message: object) -> None:
         self.timers.after(0, lambda now: self.owner.send_failed(to, message))
--- a/testing/decisions/jobs/test_fleet.py
+++ b/testing/decisions/jobs/test_fleet.py
@@ -201,6 +201,31 @@
     assert all(len(batch.stops) == 1 for batch in batches)
 
 
+@pytest.mark.parametrize("lost", ["orders", "acknowledgements", "both"])
+@pytest.mark.parametrize("for_s", [0.3, 0.65, 1.0, 1.3])
+def test_agents_are_used_again_after_a_link_was_silent(cluster, lost, for_s):
+    """Guards against an agent that is lost to an entry for good.
+
+    A batch of starts or its acknowledgement is lost with a link that goes
+    silent and is replaced. The agents' grants to the entry may expire
+    meanwhile; the entry does not give the agents up.
+    """
+    for agent in cluster.endpoints:
+        if lost != "acknowledgements":
+            cluster.partitions.add(("entry-0", agent))
+        if lost != "orders":
+            cluster.partitions.add((agent, "entry-0"))
+    cluster.submit("entry-0", clusters.job(1, count=9, work_s=6.0))
+    cluster.run(for_s)
+    cluster.partitions.clear()
+    cluster.reset_links("entry-0")
+    cluster.run(2.0)
+    owner = cluster.processes["entry-0"].state_machine
+    usable = owner.directory.usable(cluster.now_s)
+    assert len(usable) == len(cluster.endpoints)
+    assert not cluster.violations()
+
+
 def test_a_job_can_be_resubmitted_after_its_caller_disconnects(cluster):
     """Guards against overlapping runs after a connection reset."""
     cluster.submit("entry-0", clusters.job(1, work_s=4.0))
--- a/testing/wire/test_links.py
+++ b/testing/wire/test_links.py
@@ -170,6 +170,33 @@
     assert len(a.links.open_connections) == len(b.links.open_connections) == 1
 
 
+class ReadyConnection:
+    """A ready connection that records what is sent on it."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        """Record a message."""
+        self.sent.append(message)
+        return True
+
+
+def test_messages_take_the_newest_connection_of_a_peer(make_peer):
+    """Guards against messages on a link that is silent for the peer only.
+
+    The peer has replaced the link, and this process has not noticed yet that
+    the older one is dead.
+    """
+    peer = make_peer("a")
+    node = members.NodeId("b", 1)
+    older, newer = ReadyConnection(), ReadyConnection()
+    peer.links.ready_by_node[node] = [older, newer]
+    peer.links.send(node, members.NO_ADDRESS, "message")
+    del peer.links.ready_by_node[node]
+    assert (older.sent, newer.sent) == ([], ["message"])
+
+
 def test_other_protocol_version_is_refused(make_peer):
     """Guards against messages misread by another protocol version."""
     a = make_peer("a")
