Repeat a cancellation to each entry until it confirms

What callers saw: a cancelled job ran to its end. Its entry was frozen when it was cancelled at another one, which answered 410, no such job, after 0.5 s.

Cause: a cancellation was sent to each other entry once, and forgotten after 0.5 s; an entry that had not replied counted as one without the job. A job that was found where the DELETE arrived was cancelled at no other entry, so that a late copy of its submission ran there.

Ruled out: an entry that ignores a cancellation after a pause (it never received one: the link's handshake had timed out).

The reply is 410 only if all entries have confirmed, 202 'cancelling' if one is silent. A leaving entry finishes its cancellations before it ends.

--- a/src/_jasminewind/decisions/jobs/actions.py
+++ b/src/_jasminewind/decisions/jobs/actions.py
@@ -123,12 +123,24 @@
     answer: specs.JobAnswer
 
 
+class CancelOutcome(enum.StrEnum):
+    """What is known of a cancelled job.
+
+    ``UNKNOWN``: no entry has it. ``PENDING``: an entry that does not answer
+    at present may have it, and is told before it runs more of the job.
+    """
+
+    CANCELLED = "cancelled"
+    UNKNOWN = "unknown"
+    PENDING = "pending"
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CancelReply(core.Action):
-    """Tell a canceller whether any entry knew the job."""
+    """Tell a caller the outcome of its cancellation."""
 
     ticket: int
-    known: bool
+    outcome: CancelOutcome
 
 
 # The peer opened the link, so there is no address to connect to.
--- a/src/_jasminewind/nodes/job_entry.py
+++ b/src/_jasminewind/nodes/job_entry.py
@@ -80,7 +80,9 @@
             meter=self.meter,
         )
         self.cancellation = cancellation.Cancellation(jobs=self.owner)
-        self.pending_cancellations: dict[int, defer.Deferred[bool]] = {}
+        self.pending_cancellations: dict[
+            int, defer.Deferred[actions.CancelOutcome]
+        ] = {}
         self.shutdown_limit_s = shutdown_limit_s
         self.shutdown_start_s = 0.0
         self.is_stopped = False
@@ -92,9 +94,7 @@
     def set_members(self, rows: dict[str, bytes]) -> None:
         """Update the known entries from the rows of registered processes."""
         self.update_registry(rows)
-        self.cancellation.entries = tuple(
-            entry.address for entry in self.registry.entries()
-        )
+        self.cancellation.set_entries(self.registry.entries())
 
     def set_configuration(self, config: specs.JobConfiguration) -> None:
         """Apply a configuration if its version is newer."""
@@ -187,10 +187,10 @@
         now = self.timers.now()
         self.perform(self.owner, self.owner.on_caller_left(job, now))
 
-    def cancel(self, job: str) -> defer.Deferred[bool]:
-        """Cancel a job; fire with whether any entry owned it."""
+    def cancel(self, job: str) -> defer.Deferred[actions.CancelOutcome]:
+        """Cancel a job, whichever entry owns it."""
         now = self.timers.now()
-        reply: defer.Deferred[bool] = defer.Deferred()
+        reply: defer.Deferred[actions.CancelOutcome] = defer.Deferred()
         ticket, requests = self.cancellation.cancel(job, now)
         self.pending_cancellations[ticket] = reply
         self.perform(self.cancellation, requests)
@@ -243,9 +243,14 @@
 
     def is_idle(self) -> bool:
         """Return whether the process can exit without losing a job."""
-        passed_s = self.timers.clock.seconds() - self.shutdown_start_s
-        has_work = bool(self.intake.waiting) or not self.owner.is_idle()
-        return passed_s >= BALANCER_DELAY_S and not has_work
+        now = self.timers.now()
+        passed_s = now.mono_s - self.shutdown_start_s
+        is_idle = (
+            not self.intake.waiting
+            and self.owner.is_idle()
+            and self.cancellation.is_idle(now)
+        )
+        return passed_s >= BALANCER_DELAY_S and is_idle
 
     def stop(self) -> None:
         """Close every link and refuse new jobs."""
@@ -265,8 +270,8 @@
     def on_cancel_reply(
         self, machine: core.StateMachine, action: actions.CancelReply
     ) -> None:
-        """Complete a cancellation with whether the job was found."""
+        """Complete a cancellation with its outcome."""
         del machine
         reply = self.pending_cancellations.pop(action.ticket, None)
         if reply is not None:
-            reply.callback(action.known)
+            reply.callback(action.outcome)
--- a/src/_jasminewind/platform/ingress.py
+++ b/src/_jasminewind/platform/ingress.py
@@ -8,6 +8,7 @@
 import msgspec
 import structlog
 
+from _jasminewind.decisions.jobs import actions
 from _jasminewind.decisions.jobs import intake
 from _jasminewind.decisions.jobs import specs
 from _jasminewind.nodes import job_entry
@@ -28,6 +29,10 @@
     # Part of the job may have run; the caller is expected to retry.
     specs.JobState.ABANDONED: 504,
 }
+CANCEL_RESPONSES = {
+    actions.CancelOutcome.CANCELLED: (200, "cancelled"),
+    actions.CancelOutcome.PENDING: (202, "cancelling"),
+}
 
 
 class Ingress(job_entry.AnswerSink, http_server.Handler):
@@ -207,14 +212,16 @@
     def cancel(self, request: http_server.Request, job: str) -> None:
         """Cancel a job, whichever entry owns it."""
 
-        def on_cancelled(is_known: bool) -> None:
-            body = bodies.StateAnswer(state="cancelled")
-            response = json_response(200, body)
-            if not is_known:
+        def on_reply(outcome: actions.CancelOutcome) -> None:
+            if outcome is actions.CancelOutcome.UNKNOWN:
                 response = refuse(request, 410, "no entry has such a job")
+            else:
+                status, state = CANCEL_RESPONSES[outcome]
+                body = bodies.StateAnswer(state=state)
+                response = json_response(status, body)
             self.respond(request, response)
 
-        self.entry.cancel(job).addCallback(on_cancelled)
+        self.entry.cancel(job).addCallback(on_reply)
 
 
 class ReceivedSubmission(job_entry.Submission):
--- a/testing/platform/test_entry_and_agent.py
+++ b/testing/platform/test_entry_and_agent.py
@@ -10,6 +10,7 @@
 
 from _jasminewind import job_settings
 from _jasminewind import members
+from _jasminewind.decisions.jobs import registry
 from _jasminewind.experiment import ports
 from _jasminewind.platform import daemon
 from _jasminewind.platform import http
@@ -529,6 +530,34 @@
     assert b"jasminewind_job_time_bucket" in body
 
 
+def test_a_cancellation_claims_no_more_than_is_known(system):
+    """Guards against 410 for a job that an entry may own which is silent."""
+    row = registry.Registration(
+        role=members.Role.ENTRY,
+        host=HOST,
+        port=ALLOCATOR.take(),
+        started_ms=1,
+    )
+
+    async def cancel():
+        await system.wait_until_ready()
+        alone = await system.call(b"DELETE", "callers", JOB_PATH)
+        system.store.put("members", "entry-9", registry.encode(row))
+        entry = system.daemons[0].node
+        await reactor.until(lambda: entry.cancellation.peers)
+        silent = await system.call(b"DELETE", "callers", OTHER_JOB_PATH)
+        late_copy = await system.call(
+            b"POST", "callers", OTHER_JOB_PATH, fake_platform.JOB
+        )
+        return alone, silent, late_copy, entry.is_idle()
+
+    alone, silent, late_copy, is_idle = reactor.run(cancel)
+    assert alone[0] == 410
+    assert (silent[0], json.loads(silent[1])["state"]) == (202, "cancelling")
+    assert json.loads(late_copy[1])["state"] == "cancelled"
+    assert not is_idle
+
+
 def test_a_leaving_entry_finishes_and_then_refuses(system):
     """Guards against responses lost in a graceful shutdown."""
 
