Refuse orders for an earlier incarnation of the endpoint

What callers would see: a task with a requirement that starts on an endpoint which does not meet it, for up to 0.2 s after the endpoint was replaced at its address by one of another kind.

Cause: LoadChanged tells an entry that the agent accepts work again before a heartbeat brings the new record, and the agent did not check for which endpoint an order was chosen.

StartRuns names the incarnation of the endpoint; an agent whose endpoint is another one refuses the orders as not started.

--- a/src/_jasminewind/decisions/jobs/agents.py
+++ b/src/_jasminewind/decisions/jobs/agents.py
@@ -100,6 +100,12 @@
         )
         self.free -= need
 
+    def incarnation(self) -> runs.Incarnation | None:
+        """Return the incarnation of the endpoint, if one is known."""
+        if self.endpoint is None:
+            return None
+        return runs.incarnation(self.endpoint)
+
     def remove_run(self, key: runs.RunKey) -> None:
         """Remove a run that has ended or will never start.
 
--- a/src/_jasminewind/decisions/jobs/endpoint_selection.py
+++ b/src/_jasminewind/decisions/jobs/endpoint_selection.py
@@ -34,18 +34,6 @@
     is_draining: bool
 
 
-class Incarnation(typing.NamedTuple):
-    """Identity of one life of an endpoint."""
-
-    name: str
-    born_ms: int
-
-
-def incarnation(record: runs.EndpointRecord) -> Incarnation:
-    """Return the incarnation that a record describes."""
-    return Incarnation(record.name, record.born_ms)
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Identify(core.Action):
     """Ask the endpoint at an announced address who it is."""
@@ -94,7 +82,7 @@
         # Sequence number of the last announcement that took effect.
         self.sequence = 0
         self.services: frozenset[str] = frozenset()
-        self.candidates: dict[Incarnation, Candidate] = {}
+        self.candidates: dict[runs.Incarnation, Candidate] = {}
         self.actions: core.Actions = []
 
     def handles(self) -> typing.Iterable[type]:
@@ -138,11 +126,13 @@
     def is_current(self, record: runs.EndpointRecord) -> bool:
         """Tell whether a record describes the incarnation in use."""
         known = self.executor.endpoint
-        return known is not None and incarnation(known) == incarnation(record)
+        return known is not None and runs.incarnation(
+            known
+        ) == runs.incarnation(record)
 
     def use(self, announcement: Announcement) -> None:
         """Let an announcement take effect."""
-        self.candidates.pop(incarnation(announcement.record), None)
+        self.candidates.pop(runs.incarnation(announcement.record), None)
         self.sequence = announcement.sequence
         self.trust_service(announcement.record.service)
         self.actions.append(UseEndpoint(announcement=announcement))
@@ -151,7 +141,7 @@
         self, announcement: Announcement, now: core.Instant
     ) -> None:
         """Remember an incarnation, and examine it at once."""
-        key = incarnation(announcement.record)
+        key = runs.incarnation(announcement.record)
         candidate = self.candidates.get(key)
         if candidate is None:
             if len(self.candidates) >= MAX_CANDIDATES:
@@ -192,7 +182,7 @@
     ) -> core.Actions:
         """Handle the reply of the endpoint at an announced address."""
         record = announcement.record
-        candidate = self.candidates.get(incarnation(record))
+        candidate = self.candidates.get(runs.incarnation(record))
         if candidate is None:
             return []
         if self.is_identity(record, reply):
--- a/src/_jasminewind/decisions/jobs/executor.py
+++ b/src/_jasminewind/decisions/jobs/executor.py
@@ -238,6 +238,12 @@
                 outcome = runs.RunOutcome.NOT_STARTED
             self.end_run(run, outcome, now, reason=reason)
 
+    def incarnation(self) -> runs.Incarnation | None:
+        """Return the incarnation of the endpoint, if one is attached."""
+        return (
+            None if self.endpoint is None else runs.incarnation(self.endpoint)
+        )
+
     def is_accepting(self) -> bool:
         """Tell whether new runs are accepted."""
         return (
@@ -296,8 +302,11 @@
             # A start under a grant proves that its owner is alive, as an
             # acknowledgement of the heartbeat does.
             self.grants.renew(sender, message.grant, now.mono_s)
+        is_other = message.endpoint not in (None, self.incarnation())
         for order in message.orders:
             reason = self.refusal(order, age_s)
+            if is_other:
+                reason = "the order is for another life of the endpoint"
             if reason:
                 self.log("refuse_run", reason, order.key)
                 self.meter.add(metrics.ORDERS_REFUSED)
--- a/src/_jasminewind/decisions/jobs/owner.py
+++ b/src/_jasminewind/decisions/jobs/owner.py
@@ -129,6 +129,7 @@
                 grant=agent.grant,
                 orders=tuple(orders),
                 stops=tuple(agent.stops),
+                endpoint=agent.incarnation(),
             )
             agent.next_batch += 1
             self.actions.append(actions.send(node, message))
--- a/src/_jasminewind/messages/runs.py
+++ b/src/_jasminewind/messages/runs.py
@@ -36,6 +36,19 @@
     labels: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class Incarnation:
+    """Identity of one life of an endpoint."""
+
+    name: str
+    born_ms: int
+
+
+def incarnation(record: EndpointRecord) -> Incarnation:
+    """Return the incarnation that a record describes."""
+    return Incarnation(record.name, record.born_ms)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AgentLoad:
     """Load of an endpoint, as its agent reports it.
@@ -109,12 +122,14 @@
     """Start runs under the lease granted by beat ``grant``.
 
     It extends the grant as :class:`BeatEcho` does, so it names the same
-    ``stops``.
+    ``stops``. The orders are for the incarnation ``endpoint``, as another one
+    may lack what the tasks require.
     """
 
     batch: int
     grant: int
     orders: tuple[RunOrder, ...]
+    endpoint: Incarnation | None = None
     stops: tuple[RunKey, ...] = ()
 
 
--- a/src/_jasminewind/platform/bodies.py
+++ b/src/_jasminewind/platform/bodies.py
@@ -27,6 +27,21 @@
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
 
+# Limits on values of other writers. What is beyond them is a mistake, and
+# some of it could not be encoded again.
+MAX_NAME_CHARS = 200
+MAX_LABELS = 100
+MAX_MILLISECONDS = 10**13
+MAX_AMOUNT = 10**12
+MAX_COUNT = 10**9
+Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+Labels = typing.Annotated[
+    tuple[Name, ...], msgspec.Meta(max_length=MAX_LABELS)
+]
+Milliseconds = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
+Duration = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
+Amount = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 decode = json_input.decode
 
 
@@ -44,11 +59,11 @@
 class StepBody(Body):
     """One step of a job; omitted fields have no effect."""
 
-    count: int
-    cpu_millicores: int = 0
-    memory_request_mb: float = 0
-    gpus: int = 0
-    estimated_ms: float = 0
+    count: Count
+    cpu_millicores: Amount = 0
+    memory_request_mb: Amount = 0
+    gpus: Amount = 0
+    estimated_ms: Duration = 0
     after: tuple[int, ...] = ()
     checkpointing: bool = False
     gang: bool = False
@@ -56,7 +71,7 @@
     # The one label that the endpoint must have.
     requirements: str = ""
     data_rack: str = ""
-    max_per_server: int = 0
+    max_per_server: Count = 0
     allow_duplicates: bool = False
     long_running: bool = False
     image: str = ""
@@ -121,9 +136,9 @@
 class Amounts(Body):
     """Amounts of CPU, memory and accelerators."""
 
-    cpu_millicores: float = 0
-    memory_request_mb: float = 0
-    gpus: float = 0
+    cpu_millicores: Amount = 0
+    memory_request_mb: Amount = 0
+    gpus: Amount = 0
 
 
 def to_resources(body: StepBody | Amounts) -> resources.Resources:
@@ -227,16 +242,16 @@
 class HeartbeatBody(Body):
     """Heartbeat of an endpoint."""
 
-    service: str
-    address: str
-    zone: str
+    service: Name
+    address: Name
+    zone: Name
     state: typing.Literal["ready", "draining"]
     capacity: Amounts
-    sequence: int
-    clock_ms: int
-    labels: tuple[str, ...] = ()
+    sequence: typing.Annotated[int, msgspec.Meta(ge=0, lt=2**63)]
+    clock_ms: Milliseconds
+    labels: Labels = ()
     # Start time in Unix ms; absent if names are never reused.
-    born: int = 0
+    born: Milliseconds = 0
 
     def to_record(self, name: str) -> runs.EndpointRecord:
         """Return the record of the endpoint called ``name``."""
--- a/src/_jasminewind/platform/control.py
+++ b/src/_jasminewind/platform/control.py
@@ -44,6 +44,8 @@
 
     def heartbeat(self, name: str, request: http_server.Request) -> int:
         """Handle a heartbeat; an invalid one announces no endpoint."""
+        if not 0 < len(name) <= bodies.MAX_NAME_CHARS:
+            return 400
         body = bodies.decode(request.body, bodies.HeartbeatBody)
         if body.is_err():
             self.log.warning(
--- a/src/_jasminewind/platform/daemon.py
+++ b/src/_jasminewind/platform/daemon.py
@@ -9,6 +9,7 @@
 import sys
 import typing
 
+import result
 import structlog
 from twisted.internet import defer
 from twisted.internet import endpoints
@@ -18,6 +19,7 @@
 from _jasminewind import logs
 from _jasminewind import members
 from _jasminewind import prometheus_metrics
+from _jasminewind import settings as settings_schema
 from _jasminewind import timers
 from _jasminewind.decisions.jobs import registry
 from _jasminewind.platform import bodies
@@ -339,8 +341,15 @@
 
 def load_settings() -> job_settings.LoadResult:
     """Return the settings from the platform's file."""
-    path = pathlib.Path(os.environ.get(SETTINGS_ENV, ""))
-    return job_settings.parse(path.read_bytes())
+    path = os.environ.get(SETTINGS_ENV)
+    if not path:
+        mistake = settings_schema.Mistake(
+            path=SETTINGS_ENV, reason="is not set; it names the settings file"
+        )
+        return result.Err(settings_schema.SettingsError(mistakes=(mistake,)))
+    return settings_schema.read(pathlib.Path(path)).and_then(
+        job_settings.parse
+    )
 
 
 def main() -> None:
--- a/src/_jasminewind/settings.py
+++ b/src/_jasminewind/settings.py
@@ -261,13 +261,17 @@
 
 def load(path: pathlib.Path) -> LoadResult:
     """Return the settings in a file, or all of its mistakes."""
+    return read(path).and_then(parse)
+
+
+def read(path: pathlib.Path) -> result.Result[bytes, SettingsError]:
+    """Return the text of a settings file."""
     try:
-        text = path.read_bytes()
+        return result.Ok(path.read_bytes())
     except OSError as e:
         reason = f"cannot read the file: {e.strerror}"
         mistake = Mistake(path=str(path), reason=reason)
         return result.Err(SettingsError(mistakes=(mistake,)))
-    return parse(text)
 
 
 def parse(text: bytes) -> LoadResult:
--- a/testing/decisions/jobs/test_paused_agent.py
+++ b/testing/decisions/jobs/test_paused_agent.py
@@ -77,9 +77,11 @@
         assert self.order(2, order(QUEUED, 1.2)) == []
         assert [run.key for run in self.executor.allocation.queue] == [QUEUED]
 
-    def order(self, batch, *orders):
+    def order(self, batch, *orders, endpoint=None):
         """Order runs; return those that are started at once."""
-        message = runs.StartRuns(batch=batch, grant=self.grant, orders=orders)
+        message = runs.StartRuns(
+            batch=batch, grant=self.grant, orders=orders, endpoint=endpoint
+        )
         return self.started_keys(
             self.executor.on_message(ENTRY, message, self.now())
         )
@@ -154,6 +156,23 @@
     assert agent.started_keys(EVENTS[event](agent)) == []
 
 
+def test_an_order_for_another_life_of_the_endpoint_is_refused():
+    """Guards against tasks on an endpoint that lacks what they require.
+
+    The entry has not heard yet that the endpoint was replaced.
+    """
+    agent = Agent()
+    end_first_run(agent)
+    key = runs.RunKey("other.0.0.0", 1)
+    earlier = runs.Incarnation("earlier", 1)
+    assert agent.order(3, order(key, 0.5), endpoint=earlier) == []
+    assert key in agent.executor.recent_ends
+    assert key not in agent.executor.allocation.runs
+    following = runs.RunKey("other.0.0.0", 2)
+    agent.order(4, order(following, 0.5), endpoint=runs.incarnation(RECORD))
+    assert following in agent.executor.allocation.runs
+
+
 def test_a_lost_renewal_is_not_repeated_for_a_lost_entry():
     """Guards against a lease that is extended under an expired grant."""
     agent = Agent()
