--- a/testing/platform/test_startup.py
+++ b/testing/platform/test_startup.py
@@ -1,11 +1,15 @@
 """What the processes on the users' platform load before they serve."""
 
 import json
+import os
+import pathlib
 import subprocess
 import sys
 
 import pytest
 
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PROGRAM = ROOT / "src" / "jasminewindd.py"
 PRINT_MODULES = "; import json, sys; print(json.dumps(sorted(sys.modules)))"
 ROLES = {
     "entry": ("nodes.job_entry", "platform.ingress"),
@@ -54,3 +58,34 @@
     unused = UNUSED + UNUSED_IN_ROLE.get(role, ())
     loaded = {name for name in json.loads(output) if name.startswith(unused)}
     assert not loaded
+
+
+@pytest.mark.parametrize(
+    ("path", "reason"),
+    [
+        (None, "JASMINEWIND_NODE_FILE"),
+        ("missing.json", "cannot read the file"),
+        ("", "JASMINEWIND_NODE_FILE"),
+    ],
+)
+def test_a_process_without_settings_says_what_is_missing(
+    tmp_path, path, reason
+):
+    """Guards against a traceback instead of an instruction."""
+    environment = {
+        name: value
+        for name, value in os.environ.items()
+        if name != "JASMINEWIND_NODE_FILE"
+    }
+    if path is not None:
+        environment["JASMINEWIND_NODE_FILE"] = path
+    found = subprocess.run(
+        [sys.executable, str(PROGRAM)],
+        env=environment,
+        cwd=tmp_path,
+        capture_output=True,
+        text=True,
+    )
+    assert found.returncode == 2
+    (line,) = found.stderr.splitlines()
+    assert reason in line
