Check the range of values in jobs and heartbeats where they are decoded

Worse, an estimate of 1e300 gave an infinite slack, which cannot be sent: the agent would have closed the link on the order.

--- a/src/_jasminewind/platform/bodies.py
+++ b/src/_jasminewind/platform/bodies.py
@@ -247,7 +247,7 @@
     zone: Name
     state: typing.Literal["ready", "draining"]
     capacity: Amounts
-    sequence: typing.Annotated[int, msgspec.Meta(ge=0, lt=2**63)]
+    sequence: typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
     clock_ms: Milliseconds
     labels: Labels = ()
     # Start time in Unix ms; absent if names are never reused.
--- a/testing/platform/test_entry_and_agent.py
+++ b/testing/platform/test_entry_and_agent.py
@@ -297,6 +297,40 @@
     assert not [p for p, _ in system.machine.calls if p == b"/-/run-start"]
 
 
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("estimated-ms", -1),
+        ("estimated-ms", 1e300),
+        ("cpu-millicores", -1_000),
+        ("cpu-millicores", 10**400),
+        ("memory-request-mb", 1e300),
+        ("gpus", -1),
+        ("count", -1),
+        ("count", 10**30),
+        ("max-per-server", -1),
+        ("after", [-1]),
+    ],
+    ids=lambda value: str(value)[:20],
+)
+def test_values_out_of_range_are_refused(system, field, value):
+    """Guards against 500 for a bad value, and against links that it closes.
+
+    An infinite time cannot be sent to an agent.
+    """
+    step = {**fake_platform.JOB["steps"][0], field: value}
+
+    async def submit():
+        await system.wait_until_ready()
+        body = {**fake_platform.JOB, "steps": [step]}
+        return await system.call(b"POST", "callers", JOB_PATH, body)
+
+    status, text = reactor.run(submit)
+    assert status == 400
+    named = "earlier steps" if field == "after" else field
+    assert named in json.loads(text)["error"] or value == 10**400
+
+
 def test_a_new_configuration_is_in_force_at_once_and_never_reverts(system):
     """Guards against late configuration changes and rollbacks.
 
@@ -365,7 +399,21 @@
         {"capacity": {"cpu-millicores": "many"}},
         {"sequence": "one"},
         {"address": "nowhere"},
+        {"address": f"{HOST}:99999"},
+        {"address": f"{HOST}:{'9' * 5_000}"},
+        {"sequence": 10**400},
+        {"sequence": -1},
+        {"born": -1},
+        {"born": 10**30},
+        {"clock-ms": 10**30},
+        {"capacity": {"cpu-millicores": -1}},
+        {"capacity": {"cpu-millicores": 1e300}},
+        {"capacity": json.loads("[" * 400 + "]" * 400)},
+        {"labels": ["a"] * 101},
+        {"service": "a" * 201},
+        {"endpoint": "i" * 201},
     ],
+    ids=lambda fields: str(fields)[:40],
 )
 def test_malformed_heartbeats_name_no_endpoint(system, fields):
     """Guards against an endpoint record taken from an invalid heartbeat."""
