--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -13,6 +13,10 @@
 MAX_ATTEMPTS = 12
 # The longest tasks still run when the job is retried.
 RUN_TIMES_S = (0.05, 0.1, 0.3, 1.2, 3.0, 3.0)
+# A cancelled job starts nothing this long after the reply, and after the
+# last fault.
+CANCEL_LIMIT_S = 3.0
+CANCELLED_SHARE = 0.15
 LOST_STATUSES = (502, 504)
 REFUSED_STATUS = 503
 
@@ -25,6 +29,8 @@
     count: int
     answers: list[tuple[int, bytes]] = dataclasses.field(default_factory=list)
     is_answered: bool = False
+    # When a cancellation was answered with a 2xx, infinite if none was.
+    cancelled_s: float = float("inf")
 
     def tasks(self):
         """Return the names of the tasks."""
@@ -34,7 +40,8 @@
 class Callers:
     """Submits random jobs to random entries and records the replies."""
 
-    def __init__(self, fleet, rng):
+    def __init__(self, fleet, rng, *, cancels):
+        self.cancels = cancels
         self.fleet = fleet
         self.rng = rng
         self.submissions = []
@@ -64,6 +71,26 @@
             self.submit_until_answered(submission, body)
         )
         self.pending.append(answered)
+        if self.cancels and self.rng.random() < CANCELLED_SHARE:
+            cancelled = defer.ensureDeferred(
+                self.cancel(submission, self.rng.uniform(0.1, 3.0))
+            )
+            self.pending.append(cancelled)
+
+    async def cancel(self, submission, after_s):
+        """Cancel a job at a random entry after a while."""
+        await reactors.sleep(after_s)
+        name = self.rng.choice(self.fleet.entry_names)
+        client = self.fleet.client(self.fleet.caller_ports[name])
+        found = await client.send(
+            b"DELETE",
+            f"/quotes/{submission.job}",
+            timeout_s=ANSWER_TIMEOUT_S,
+            headers={"host": "orders.example"},
+        )
+        await client.close()
+        if found.is_ok() and found.unwrap().status in (200, 202):
+            submission.cancelled_s = self.fleet.reactor.seconds()
 
     async def submit_until_answered(self, submission, body):
         """Send a job until it is answered; go to the next entry each time."""
@@ -100,16 +127,30 @@
         submission.answers.append((status, text))
         return status
 
-    def violations(self):
-        """Return the violations in the replies to all jobs."""
+    def violations(self, calm_s):
+        """Return the violations in the replies to all jobs.
+
+        There were no faults after ``calm_s``.
+        """
         done = set()
-        started = set()
+        last_starts_s = {}
         for endpoint in self.fleet.endpoints:
             done |= endpoint.done
-            started |= {key.task for _, key in endpoint.starts}
+            for at_s, key in endpoint.starts:
+                last_starts_s[key.task] = max(
+                    at_s, last_starts_s.get(key.task, 0.0)
+                )
         found = []
         for submission in self.submissions:
-            found += submission_violations(submission, done, started)
+            found += submission_violations(
+                submission, done, set(last_starts_s)
+            )
+            limit_s = max(submission.cancelled_s, calm_s) + CANCEL_LIMIT_S
+            found += [
+                f"{task} starts after its job was cancelled"
+                for task in sorted(submission.tasks())
+                if last_starts_s.get(task, 0.0) > limit_s
+            ]
         return found
 
 
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -2,15 +2,21 @@
 
 import signal
 
+from testing.decisions.jobs import test_registry
 from testing.soak import proxy as proxies
 
 MAX_FAULT_S = 3.0
+ODD_ROWS = list(test_registry.ODD_VALUES.values())
 
 
 class Faults:
-    """Draws faults from a seeded generator and injects them."""
+    """Draws faults from a seeded generator and injects them.
 
-    def __init__(self, fleet, rng):
+    Without the combined faults a seed draws what it drew before they were
+    added.
+    """
+
+    def __init__(self, fleet, rng, *, has_combined=True):
         self.fleet = fleet
         self.rng = rng
         self.version = 1
@@ -36,6 +42,14 @@
             self.hang_endpoint_tasks,
             self.configure,
         )
+        if has_combined:
+            self.injections += (
+                self.reset_entry,
+                self.reset_entry,
+                self.silence_links,
+                self.announce_foreign,
+                self.write_odd_row,
+            )
 
     def inject(self):
         """Inject one drawn fault."""
@@ -175,6 +189,43 @@
         duration_s = self.schedule_undo(lambda: setattr(proxy, "delay_s", 0.0))
         return f"delay {name} for {duration_s:.2f} s"
 
+    def reset_entry(self):
+        """Reset the callers' connections and the links of an entry at once."""
+        name = self.rng.choice(self.fleet.entry_names)
+        for kind in ("callers", "links"):
+            self.fleet.proxies[f"{name}-{kind}"].reset()
+        return f"reset all of {name}"
+
+    def silence_links(self):
+        """Blackhole the open links of some entries at once."""
+        count = self.rng.randint(1, len(self.fleet.entry_names))
+        names = self.rng.sample(self.fleet.entry_names, count)
+        for name in names:
+            self.fleet.proxies[f"{name}-links"].silence()
+        return f"silence the links of {', '.join(names)}"
+
+    # Other writers
+
+    def announce_foreign(self):
+        """Send an agent a heartbeat of an endpoint that is not there."""
+        name, _ = self.draw_endpoint()
+        service = self.rng.choice(("label-printers", "orders"))
+        self.fleet.send_heartbeat(
+            name,
+            endpoint=f"x-{self.rng.randint(1, 3)}",
+            service=service,
+            address="127.0.0.1:9",
+            born=2_000_000_000_000,
+        )
+        return f"foreign heartbeat of service {service} to {name}"
+
+    def write_odd_row(self):
+        """Write a row that no process can use among those of the entries."""
+        key = f"odd-{self.rng.randint(1, 3)}"
+        number = self.rng.randrange(len(ODD_ROWS))
+        self.fleet.store.put("members", key, ODD_ROWS[number])
+        return f"odd row {number}"
+
     # Store
 
     def fail_store_calls(self):
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -277,8 +277,8 @@
             self.send_heartbeat(name)
         self.reactor.callLater(HEARTBEAT_INTERVAL_S, self.send_heartbeats)
 
-    def send_heartbeat(self, name):
-        """Send one heartbeat of an endpoint to its agent."""
+    def send_heartbeat(self, name, endpoint="", **fields):
+        """Send one heartbeat of an endpoint, by default its own, to an agent."""
         found = self.machines[name].fake
         self.sequence += 1
         body = {
@@ -287,8 +287,9 @@
             "born": found.record.born_ms,
             "clock-ms": found.clock_ms(self.reactor.seconds()),
             "sequence": self.sequence,
+            **fields,
         }
-        path = f"/-/Instances.Heartbeat/{found.record.name}"
+        path = f"/-/Instances.Heartbeat/{endpoint or found.record.name}"
         client = self.client(self.control_ports[name])
         sending = client.send(
             b"POST", path, json.dumps(body).encode(), timeout_s=1.0
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -46,12 +46,15 @@
     return True
 
 
-async def run(seed, *, duration_s, folder, agents=6):
-    """Run one soak and return its result."""
+async def run(seed, *, duration_s, folder, agents=6, has_combined=True):
+    """Run one soak and return its result.
+
+    ``has_combined`` adds cancellations and the combined faults.
+    """
     rng = random.Random(seed)
     fleet = fleets.Fleet(folder, agents=agents)
-    job_callers = callers.Callers(fleet, rng)
-    injector = faults.Faults(fleet, rng)
+    job_callers = callers.Callers(fleet, rng, cancels=has_combined)
+    injector = faults.Faults(fleet, rng, has_combined=has_combined)
     violations = []
     try:
         if not await ends_within(START_LIMIT_S, fleet.start()):
@@ -60,13 +63,15 @@
         # All scheduled undos have run after this.
         await reactors.sleep(faults.MAX_FAULT_S)
         fleet.recover()
+        calm_s = fleet.reactor.seconds()
+        job_callers.cancels = False
         if not await ends_within(
             RECOVERY_S, wait_recovered(fleet, job_callers)
         ):
             violations.append(f"no recovery within {RECOVERY_S} s")
         settled = defer.DeferredList(job_callers.pending, consumeErrors=True)
         await ends_within(SETTLE_LIMIT_S, settled)
-        violations += job_callers.violations()
+        violations += job_callers.violations(calm_s)
         violations += [text for e in fleet.endpoints for text in e.violations]
     finally:
         fleet.stop()
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -6,17 +6,22 @@
 from testing import reactor as reactors
 from testing.soak import soak
 
-CI_SOAKS = ((1, 8.0), (2, 8.0))
-# Seeds that failed before, and the duration of the soak in seconds.
+# Seed, duration of the soak in seconds, and whether it has combined faults.
+CI_SOAKS = ((1, 8.0, False), (2, 8.0, False), (3, 8.0, True), (4, 8.0, True))
+# Seeds that failed before.
 REGRESSIONS = (
     # A lease of 1 s outlived the caller's retry delay of 1.3 s: the entry
     # was killed, and then calls to the endpoint were delayed.
-    (40, 15.0),
+    (40, 15.0, False),
 )
 
 
-@pytest.mark.parametrize(("seed", "duration_s"), CI_SOAKS + REGRESSIONS)
-def test_promises_hold_under_random_faults(seed, duration_s, tmp_path):
+@pytest.mark.parametrize(
+    ("seed", "duration_s", "has_combined"), CI_SOAKS + REGRESSIONS
+)
+def test_promises_hold_under_random_faults(
+    seed, duration_s, has_combined, tmp_path
+):
     """Guards against violations by combinations of random faults.
 
     Processes, connections, the store and endpoints fail in random order.
@@ -24,7 +29,12 @@
 
     def start():
         return defer.ensureDeferred(
-            soak.run(seed, duration_s=duration_s, folder=tmp_path)
+            soak.run(
+                seed,
+                duration_s=duration_s,
+                folder=tmp_path,
+                has_combined=has_combined,
+            )
         )
 
     result = reactors.call(start)
