--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -278,7 +278,7 @@
         self.reactor.callLater(HEARTBEAT_INTERVAL_S, self.send_heartbeats)
 
     def send_heartbeat(self, name, endpoint="", **fields):
-        """Send one heartbeat of an endpoint, by default its own, to an agent."""
+        """Send a heartbeat of an endpoint to an agent, by default its own."""
         found = self.machines[name].fake
         self.sequence += 1
         body = {
