Log each run that is given up, and keep room for such lines

An agent that lets go of its endpoint logged one line without the runs, and an entry beyond 300 lines a second dropped lines whatever they say.

Change: an agent logs each run that it reports as lapsed although the endpoint has not listed its end (kind give_up), with the reason and the rest of the lease, and counts them by whether the lease is still valid (runs.given_up). Lines that every job causes (accept, place, answer) leave a fifth of the rate to all others. No decision changes.

--- a/src/_jasminewind/decisions/jobs/executor.py
+++ b/src/_jasminewind/decisions/jobs/executor.py
@@ -236,8 +236,26 @@
             outcome = runs.RunOutcome.LAPSED
             if run.state is allocation.RunState.QUEUED:
                 outcome = runs.RunOutcome.NOT_STARTED
+            else:
+                self.record_given_up(run, reason, now)
             self.end_run(run, outcome, now, reason=reason)
 
+    def record_given_up(
+        self, run: allocation.Run, reason: str, now: core.Instant
+    ) -> None:
+        """Log and count a run whose end the endpoint has not listed.
+
+        One that is given up under a valid lease may still be running.
+        """
+        left_s = self.lease.remaining_s(now.mono_s)
+        lease = "valid" if left_s >= 0 else "expired"
+        self.meter.add(metrics.RUNS_GIVEN_UP, lease=lease)
+        self.log(
+            "give_up",
+            f"{reason}; the lease ends in {left_s:.3f} s",
+            run.key,
+        )
+
     def incarnation(self) -> runs.Incarnation | None:
         """Return the incarnation of the endpoint, if one is attached."""
         return (
--- a/src/_jasminewind/decisions/jobs/leases.py
+++ b/src/_jasminewind/decisions/jobs/leases.py
@@ -65,6 +65,10 @@
 
     def has_expired(self, now_s: float) -> bool:
         """Tell whether every renewed lease has certainly expired."""
+        return self.remaining_s(now_s) < 0
+
+    def remaining_s(self, now_s: float) -> float:
+        """Return how long the lease may still last, negative if expired."""
         left_ms = self.deadline_ms - self.clock_ms
         left_s = left_ms / 1000 * (1 + CLOCK_DRIFT)
-        return now_s > self.clock_read_s + left_s
+        return self.clock_read_s + left_s - now_s
--- a/src/_jasminewind/logs.py
+++ b/src/_jasminewind/logs.py
@@ -19,6 +19,10 @@
 MAX_KEPT_DECISIONS = 2_000
 REPORT_PERIOD_S = 10.0
 HASH_VALUE_COUNT = 1 << 64
+# Kinds that every job causes. They leave a part of the rate to the others, so
+# that a busy process still logs what goes wrong.
+ROUTINE_KINDS = frozenset({"accept", "place", "answer"})
+RESERVED_DIVISOR = 5
 DECISION_FIELDS = tuple(
     field.name for field in dataclasses.fields(core.LogDecision)
 )
@@ -81,13 +85,17 @@
         self.dropped = 0
         self.unwritten = b""
 
-    def has_room(self) -> bool:
-        """Return whether the rate allows one more line."""
+    def has_room(self, *, is_routine: bool = False) -> bool:
+        """Return whether the rate allows one more line.
+
+        A fifth of the rate is reserved for lines that are not routine.
+        """
         now_s = self.seconds()
         refill = (now_s - self.refilled_s) * self.lines_per_s
         self.tokens = min(self.tokens + refill, float(self.lines_per_s))
         self.refilled_s = now_s
-        return self.tokens >= 1.0
+        reserved = self.lines_per_s // RESERVED_DIVISOR if is_routine else 0
+        return self.tokens >= 1.0 + reserved
 
     def write(self, text: str) -> int:
         """Write one line, or count it as dropped."""
@@ -173,7 +181,10 @@
             wall_ms=self.timer_service.now().wall_ms, decision=action
         )
         self.recent.append(record)
-        if self.stream is not None and not self.stream.has_room():
+        is_routine = action.kind in ROUTINE_KINDS
+        if self.stream is not None and not self.stream.has_room(
+            is_routine=is_routine
+        ):
             # A line beyond the rate is not even formatted.
             self.stream.dropped += 1
         elif self.is_sampled(action):
--- a/src/_jasminewind/metrics.py
+++ b/src/_jasminewind/metrics.py
@@ -167,6 +167,11 @@
     "jobs.on_time", "{job}", "Jobs completed before they were due, by queue."
 )
 RUNS_ENDED = counter("runs.ended", "{run}", "Ends of runs, by outcome.")
+RUNS_GIVEN_UP = counter(
+    "runs.given_up",
+    "{run}",
+    "Runs whose end the endpoint did not list, by the state of its lease.",
+)
 ORDERS_REFUSED = counter(
     "orders.refused", "{run}", "Orders that an agent refused."
 )
--- a/testing/test_logs.py
+++ b/testing/test_logs.py
@@ -167,3 +167,26 @@
     assert len(log.recent) == 5
     os.close(reading)
     os.close(writing)
+
+
+def test_routine_lines_leave_room_for_what_goes_wrong(pipe):
+    """Guards against a busy entry that drops the lines about a lost run."""
+    reader, writer = pipe
+    stream = logs.RateLimitedStream(
+        descriptor=writer, lines_per_s=10, seconds=lambda: 0.0
+    )
+    logs.configure(stream=stream)
+    log = logs.DecisionLog(
+        timer_service=timers.TimerService(
+            clock=task.Clock(), wall_ms=lambda: 0
+        ),
+        stream=stream,
+    )
+    for number in range(50):
+        log.write(core.LogDecision(kind="place", work_id=str(number)))
+    log.write(core.LogDecision(kind="run_ended", work_id="w"))
+    logs.configure()
+    written = os.read(reader, 100_000).decode().splitlines()
+    kinds = [json.loads(line).get("kind") for line in written]
+    assert kinds.count("place") == 8
+    assert kinds[-1] == "run_ended"
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -86,6 +86,10 @@
         "`lapsed`: agents or endpoints die. `stalled`: an endpoint hangs. "
         "`failed`: see `endpoints.ejections`."
     ),
+    "runs.given_up": (
+        "`lease=valid` above 0: a fault of this program; report its "
+        "`give_up` lines."
+    ),
     "orders.refused": (
         "Rises: entries learn of free capacity too late; see "
         "`links.replaced`."
