--- a/testing/decisions/jobs/cluster.py
+++ b/testing/decisions/jobs/cluster.py
@@ -385,6 +385,26 @@
         if not process.is_dead:
             self.at(ANNOUNCE_PERIOD_S, lambda: self.announce(name))
 
+    def leave(self, name, *, lingers_s):
+        """Let an endpoint say that it leaves, and end ``lingers_s`` later."""
+        process = self.processes[name]
+        fake_endpoint = self.fake_endpoint(process)
+
+        def event():
+            requested = process.state_machine.on_endpoint_left(
+                fake_endpoint.record.name, self.instant()
+            )
+            self.perform(process, requested)
+
+        self.deliver(process, event)
+        self.at(lingers_s, lambda: self.end_endpoint(fake_endpoint))
+
+    def end_endpoint(self, fake_endpoint):
+        """End an endpoint and all that runs on it."""
+        fake_endpoint.advance(self.now_s)
+        fake_endpoint.is_down = True
+        fake_endpoint.running.clear()
+
     def submit(self, name, spec):
         """Submit a job to an entry."""
         process = self.processes[name]
--- a/testing/platform/fake_platform.py
+++ b/testing/platform/fake_platform.py
@@ -144,7 +144,7 @@
 
 
 class FakeMachine(resource.Resource):
-    """Endpoint that serves the calls of its agent."""
+    """Endpoint that serves the calls of its agent, unless it is cut off."""
 
     isLeaf = True
 
@@ -152,10 +152,14 @@
         super().__init__()
         self.reactor = reactor
         self.fake = fake.FakeEndpoint(name, born_s=born_s)
+        self.is_cut_off = False
         self.calls = []
 
     def render_POST(self, request):  # noqa: N802
         """Handle a call."""
+        if self.is_cut_off:
+            request.transport.abortConnection()
+            return server.NOT_DONE_YET
         request.setHeader("Content-Type", "application/json")
         expected = request.getHeader("X-Expected-Instance")
         if expected != self.fake.record.name:
--- a/testing/platform/test_entry_and_agent.py
+++ b/testing/platform/test_entry_and_agent.py
@@ -115,6 +115,19 @@
         await reactor.until(executor.is_accepting)
         return executor
 
+    async def replace_machine(self, name):
+        """Start another endpoint; the earlier one is cut off and runs on."""
+        self.machine.is_cut_off = True
+        self.machine = fake_platform.FakeMachine(
+            reactor.reactor, name, born_s=reactor.reactor.seconds()
+        )
+        self.ports["machine"] = ALLOCATOR.take()
+        endpoint = endpoints.TCP4ServerEndpoint(
+            reactor.reactor, self.ports["machine"], interface=HOST
+        )
+        listening = await endpoint.listen(server.Site(self.machine))
+        self.opened.append(listening)
+
     def stop(self):
         """Stop everything."""
         for started in self.daemons:
@@ -682,6 +695,36 @@
     assert status == 504
 
 
+def test_a_new_agent_waits_for_the_leases_of_its_predecessor(system):
+    """Guards against two runs of a task when agent and endpoint change.
+
+    Entries give up what the earlier agent process ran once the new one
+    accepts work. Its endpoint cannot be reached, and another one is there.
+    """
+
+    async def replace():
+        await system.wait_until_ready()
+        earlier = system.machine
+        earlier.fake.is_hanging = True
+        submitting = defer.ensureDeferred(
+            system.call(b"POST", "callers", JOB_PATH, fake_platform.JOB)
+        )
+        await reactor.until(lambda: earlier.fake.running)
+        await system.replace_machine("i-2")
+        system.daemons[1].stop()
+        await reactor.until(lambda: "agent-1" in system.ended)
+        system.start_agent()
+        executor = system.daemons[-1].node.executor
+        while not executor.is_accepting():
+            await system.send_heartbeat("i-2", born=2)
+        now_s = reactor.reactor.seconds()
+        left_ms = earlier.fake.lease_ms - earlier.fake.clock_ms(now_s)
+        await submitting
+        return left_ms
+
+    assert reactor.run(replace) < 0
+
+
 @pytest.mark.parametrize("role", ["entry", "agent"])
 def test_an_unexpected_exception_ends_neither_process_nor_link(system, role):
     """Guards against one bad event that takes other work down."""
