Give a run up only when its end is proved

Cause: an agent took three signs for the end of all runs of its endpoint, and reported them as lapsed at once, so that entries placed the tasks again within milliseconds: the notice that the endpoint leaves, which it sends before it ends; 4.5 s without an announcement, while it may answer every call; and a reply of another incarnation, which does not tell when the earlier one has exited. The class: a message about an endpoint was taken for proof that its runs have ended.

Change: runs are given up in one place (end_lapsed_runs), which checks the lease itself. After a notice or the reply of a successor the agent orders no more runs, stops those in progress, no longer extends the lease, and drops the endpoint when it runs nothing. The stops end the wait early if the endpoint still answers; otherwise the lease does, after 0.51 s at most. Silence counts only for an endpoint that does not answer and whose lease has expired. A notice of an earlier life under the same name is undone by an announcement that was sent later by the endpoint's clock; one sent before the notice does not bring the endpoint back.

Costs at 12,000 agents: none per message; a leaving endpoint gets one stop for each of its runs.

--- a/src/_jasminewind/decisions/jobs/endpoint_selection.py
+++ b/src/_jasminewind/decisions/jobs/endpoint_selection.py
@@ -66,6 +66,21 @@
     logged_reason: str = ""
 
 
+@dataclasses.dataclass(frozen=True)
+class Departure:
+    """An incarnation that said, at a time on its clock, that it leaves."""
+
+    incarnation: runs.Incarnation
+    clock_ms: int
+
+    def is_before(self, announcement: Announcement) -> bool:
+        """Tell whether an announcement was sent after the departure.
+
+        The departure was then that of an earlier life under the same name.
+        """
+        return announcement.clock_ms > self.clock_ms
+
+
 class EndpointSelection(core.StateMachine):
     """Decides which announcements the executor gets to see.
 
@@ -81,6 +96,7 @@
         self.executor = run_executor
         # Sequence number of the last announcement that took effect.
         self.sequence = 0
+        self.departure: Departure | None = None
         self.services: frozenset[str] = frozenset()
         self.candidates: dict[runs.Incarnation, Candidate] = {}
         self.actions: core.Actions = []
@@ -111,6 +127,11 @@
         """Handle an announcement of the current or another incarnation."""
         record = announcement.record
         known = self.executor.endpoint
+        departure = self.departure
+        if departure is not None:
+            is_same = runs.incarnation(record) == departure.incarnation
+            if is_same and not departure.is_before(announcement):
+                return []
         if self.is_current(record):
             if announcement.sequence <= self.sequence:
                 return []
@@ -228,8 +249,14 @@
                 )
         return self.flush()
 
-    def on_endpoint_left(self, name: str) -> None:
-        """Forget the incarnations of an endpoint that has left."""
+    def on_endpoint_left(self, name: str, now: core.Instant) -> None:
+        """Forget the incarnations of an endpoint that is leaving."""
+        known = self.executor.endpoint
+        if known is not None and known.name == name:
+            self.departure = Departure(
+                runs.incarnation(known),
+                self.executor.lease.estimated_clock_ms(now.mono_s),
+            )
         for key in list(self.candidates):
             if key.name == name:
                 del self.candidates[key]
--- a/src/_jasminewind/decisions/jobs/executor.py
+++ b/src/_jasminewind/decisions/jobs/executor.py
@@ -34,8 +34,8 @@
 MAX_FAILED_RENEWALS = 3
 # Delay before a failed renewal is retried.
 RENEWAL_RETRY_S = 0.05
-# Endpoints announce themselves every 1.5 s. After three missed announcements
-# all leases have long expired, and the endpoint counts as gone.
+# Endpoints announce themselves every 1.5 s. One that has missed three and does
+# not answer either counts as gone once its lease has expired.
 ANNOUNCEMENT_TIMEOUT_S = 4.5
 # Raise of the fencing token when the endpoint has seen a higher one, which
 # happens after its wall clock was set back.
@@ -75,6 +75,9 @@
         self.is_reconciled = False
         self.is_reachable = False
         self.is_draining = False
+        # Why the endpoint is expected to end, empty if it is not. It takes no
+        # new runs, and its lease is not renewed.
+        self.departure = ""
         self.is_leaving = False
         self.is_renewing = False
         self.failed_renewals = 0
@@ -146,21 +149,23 @@
     ) -> core.Actions:
         """Handle an announcement of the endpoint.
 
-        Another incarnation than the known one takes its place at once, so
-        the caller checks before that the known one is gone.
+        Another incarnation takes the place of the known one once that is
+        gone.
         """
         known = self.endpoint
-        self.last_announcement_s = now.mono_s
-        if known is None or known.name != record.name:
-            self.attach(record, clock_ms, now)
-        elif record.born_ms < known.born_ms:
-            return []
-        elif record.born_ms > known.born_ms:
+        if known is None or self.incarnation() != runs.incarnation(record):
+            if not self.is_endpoint_gone(now):
+                return []
             self.attach(record, clock_ms, now)
         elif record != known:
             self.endpoint = record
             self.allocation.capacity = record.capacity
             self.load_changed = True
+        self.last_announcement_s = now.mono_s
+        if self.departure:
+            self.log("endpoint_stays", f"announced after: {self.departure}")
+            self.departure = ""
+            self.load_changed = True
         if is_draining != self.is_draining:
             self.is_draining = is_draining
             self.load_changed = True
@@ -175,8 +180,11 @@
 
         One that does not answer keeps its runs until its lease expires.
         """
+        if self.endpoint is None:
+            return True
+        is_used = self.is_reachable and not self.departure
         has_lapsed = self.lease.has_expired(now.mono_s)
-        return self.endpoint is None or (not self.is_reachable and has_lapsed)
+        return has_lapsed and not is_used
 
     def restore_endpoint(
         self, record: runs.EndpointRecord, now: core.Instant
@@ -195,10 +203,11 @@
         self, record: runs.EndpointRecord, clock_ms: int, now: core.Instant
     ) -> None:
         """Switch to a new incarnation of the endpoint."""
-        self.end_all_runs("the endpoint was replaced", now)
+        self.end_lapsed_runs("the endpoint was replaced", now)
         self.endpoint = record
         self.allocation.capacity = record.capacity
         self.is_draining = False
+        self.departure = ""
         self.lease = leases.EndpointLease()
         self.lease.observe_clock(clock_ms, now.mono_s)
         # Based on the wall time of the endpoint, so that it rises with each
@@ -219,42 +228,58 @@
     def on_endpoint_left(self, name: str, now: core.Instant) -> core.Actions:
         """Handle the message of the endpoint that it is leaving."""
         if self.endpoint is not None and self.endpoint.name == name:
-            self.detach("it announced that it is leaving", now)
+            self.expect_end("it announced that it is leaving", now)
         return self.flush()
 
-    def detach(self, reason: str, now: core.Instant) -> None:
+    def expect_end(self, reason: str, now: core.Instant) -> None:
+        """Use the endpoint no longer, as it is expected to end.
+
+        It may take any time for that. Its runs end when it lists their end,
+        which a stop hastens, or when the lease expires.
+        """
+        if self.departure:
+            return
+        self.departure = reason
+        self.load_changed = True
+        self.log("endpoint_leaving", reason)
+        self.reject_queued(reason, now)
+        for run in list(self.allocation.runs.values()):
+            self.stop_run(run, runs.RunOutcome.LAPSED, now)
+        self.drop_departed(now)
+
+    def drop_departed(self, now: core.Instant) -> None:
+        """Drop an endpoint that is expected to end, once it runs nothing."""
+        if not self.departure or self.allocation.runs:
+            return
+        if self.is_reconciled or self.is_endpoint_gone(now):
+            self.drop_endpoint(self.departure)
+
+    def drop_endpoint(self, reason: str) -> None:
         """Drop the endpoint until it announces itself again."""
-        self.end_all_runs(reason, now)
         self.log("endpoint_gone", reason)
         self.endpoint = None
+        self.departure = ""
         self.is_reconciled = False
         self.load_changed = True
 
-    def end_all_runs(self, reason: str, now: core.Instant) -> None:
-        """End all runs; the endpoint certainly executes none of them."""
+    def end_lapsed_runs(self, reason: str, now: core.Instant) -> None:
+        """End all runs if the lease of the endpoint has expired.
+
+        Without a listed end this alone proves that a run has ended.
+        """
+        if not self.allocation.runs or not self.lease.has_expired(now.mono_s):
+            return
+        self.log("lease_lapsed", reason)
         for run in list(self.allocation.runs.values()):
             outcome = runs.RunOutcome.LAPSED
             if run.state is allocation.RunState.QUEUED:
                 outcome = runs.RunOutcome.NOT_STARTED
             else:
-                self.record_given_up(run, reason, now)
+                self.meter.add(metrics.RUNS_GIVEN_UP)
+                self.log("give_up", reason, run.key)
             self.end_run(run, outcome, now, reason=reason)
-
-    def record_given_up(
-        self, run: allocation.Run, reason: str, now: core.Instant
-    ) -> None:
-        """Log and count a run whose end the endpoint has not listed.
-
-        One that is given up under a valid lease may still be running.
-        """
-        left_s = self.lease.remaining_s(now.mono_s)
-        lease = "valid" if left_s >= 0 else "expired"
-        self.meter.add(metrics.RUNS_GIVEN_UP, lease=lease)
-        self.log(
-            "give_up",
-            f"{reason}; the lease ends in {left_s:.3f} s",
-            run.key,
-        )
+        self.is_reconciled = False
+        self.load_changed = True
 
     def incarnation(self) -> runs.Incarnation | None:
         """Return the incarnation of the endpoint, if one is attached."""
@@ -269,6 +294,7 @@
             and self.is_reconciled
             and self.is_reachable
             and not self.is_draining
+            and not self.departure
             and not self.is_leaving
         )
 
@@ -599,8 +625,12 @@
         )
 
     def may_renew(self, now: core.Instant) -> bool:
-        """Tell whether all unanswered stops still allow a renewal."""
-        return all(
+        """Tell whether the lease may be extended.
+
+        Not while a stop is unanswered for too long, or while the endpoint is
+        expected to end.
+        """
+        return not self.departure and all(
             run.stop_answered_s or now.mono_s < run.renew_until_s
             for run in self.allocation.runs.values()
         )
@@ -624,7 +654,9 @@
             now,
         )
         if is_other_incarnation(call.endpoint, reply):
-            self.detach("a later incarnation replied", now)
+            if not call.is_out_of_band:
+                self.next_renewal_s = now.mono_s + RENEWAL_RETRY_S
+            self.expect_end("another incarnation replied", now)
             return self.flush()
         if reply.outcome is not actions.CallOutcome.DONE:
             if not call.is_out_of_band:
@@ -634,6 +666,7 @@
         self.report_ends(reply, now)
         self.failed_renewals = 0
         self.reconcile_runs(reply, now)
+        self.drop_departed(now)
         self.start_queued(now)
         if self.is_reconciled:
             self.renew(now)
@@ -788,14 +821,15 @@
         self.retry_stops(now)
         if not self.is_renewing and now.mono_s >= self.next_renewal_s:
             self.renew(now)
-        if self.allocation.runs and self.lease.has_expired(now.mono_s):
-            self.log("lease_lapsed", "the lease expired without a renewal")
-            self.end_all_runs("the lease of the endpoint has expired", now)
-            self.is_reconciled = False
-            self.load_changed = True
+        self.end_lapsed_runs("the lease of the endpoint has expired", now)
+        self.drop_departed(now)
         silent_s = now.mono_s - self.last_announcement_s
-        if self.endpoint is not None and silent_s > ANNOUNCEMENT_TIMEOUT_S:
-            self.detach(f"no announcement for {silent_s:.1f} s", now)
+        if (
+            self.endpoint is not None
+            and silent_s > ANNOUNCEMENT_TIMEOUT_S
+            and self.is_endpoint_gone(now)
+        ):
+            self.drop_endpoint(f"no announcement for {silent_s:.1f} s")
         if now.mono_s >= self.grants.next_heartbeat_s:
             self.recent_ends.expire(now.mono_s)
             active = {run.owner for run in self.allocation.runs.values()}
--- a/src/_jasminewind/decisions/jobs/leases.py
+++ b/src/_jasminewind/decisions/jobs/leases.py
@@ -24,13 +24,13 @@
 ENDPOINT_LEASE_S = 0.5
 # Share by which the clock of an endpoint may be slower than that of the agent.
 CLOCK_DRIFT = 0.02
+# After this time every lease has expired that an agent renewed before.
+MAX_LEASE_S = ENDPOINT_LEASE_S * (1 + CLOCK_DRIFT)
 # Allows for a stop to take effect and for messages in flight.
 STOP_MARGIN_S = 0.3
 # After this time without a heartbeat all runs on an agent have ended: the
 # grant has expired, and so has the lease that the agent last renewed under it.
-AGENT_TIMEOUT_S = (
-    OWNER_GRANT_S + ENDPOINT_LEASE_S * (1 + CLOCK_DRIFT) + STOP_MARGIN_S
-)
+AGENT_TIMEOUT_S = OWNER_GRANT_S + MAX_LEASE_S + STOP_MARGIN_S
 
 
 @dataclasses.dataclass
--- a/src/_jasminewind/metrics.py
+++ b/src/_jasminewind/metrics.py
@@ -170,7 +170,7 @@
 RUNS_GIVEN_UP = counter(
     "runs.given_up",
     "{run}",
-    "Runs whose end the endpoint did not list, by the state of its lease.",
+    "Runs whose end the endpoint did not list before its lease expired.",
 )
 ORDERS_REFUSED = counter(
     "orders.refused", "{run}", "Orders that an agent refused."
--- a/src/_jasminewind/nodes/job_agent.py
+++ b/src/_jasminewind/nodes/job_agent.py
@@ -173,7 +173,7 @@
         )
 
     def on_endpoint_left(self, name: str) -> None:
-        """Handle the endpoint's notice that it is exiting.
+        """Handle the endpoint's notice that it will exit.
 
         The next process of this agent must not restore it.
         """
@@ -182,7 +182,7 @@
             self.endpoint = None
             self.on_endpoint(None)
         now = self.timers.now()
-        self.selection.on_endpoint_left(name)
+        self.selection.on_endpoint_left(name, now)
         self.perform(self.executor, self.executor.on_endpoint_left(name, now))
 
     # Shutdown
--- a/testing/decisions/jobs/cluster.py
+++ b/testing/decisions/jobs/cluster.py
@@ -369,7 +369,7 @@
         """Announce the endpoint of an agent, and repeat it."""
         process = self.processes[name]
         fake_endpoint = self.fake_endpoint(process)
-        if fake_endpoint.is_down:
+        if fake_endpoint.is_down or fake_endpoint.is_leaving:
             return
 
         def event():
@@ -396,6 +396,7 @@
             )
             self.perform(process, requested)
 
+        fake_endpoint.is_leaving = True
         self.deliver(process, event)
         self.at(lingers_s, lambda: self.end_endpoint(fake_endpoint))
 
--- a/testing/decisions/jobs/endpoint.py
+++ b/testing/decisions/jobs/endpoint.py
@@ -49,6 +49,7 @@
         self.last_end_number = 0
         self.highest_run = {}
         self.is_down = False
+        self.is_leaving = False
         self.refuses_connections = False
         self.is_faulty = False
         self.is_hanging = False
--- a/testing/decisions/jobs/test_departing_endpoint.py
+++ b/testing/decisions/jobs/test_departing_endpoint.py
@@ -47,6 +47,20 @@
     assert simulated.states() == {JOB: ["completed"]}
 
 
+def test_the_lease_of_a_leaving_endpoint_is_not_renewed(simulated):
+    """Guards against runs that hold back their tasks for long.
+
+    The endpoint says that it leaves, answers no stop and does not exit.
+    """
+    name = busy_agent(simulated)
+    simulated.stop_loss = 1.0
+    simulated.leave(name, lingers_s=60.0)
+    simulated.run(leases.MAX_LEASE_S + 0.1)
+    simulated.endpoints[name].advance(simulated.now_s)
+    assert not simulated.endpoints[name].running
+    assert simulated.processes[name].state_machine.endpoint is None
+
+
 def test_a_silent_endpoint_that_answers_keeps_its_runs(simulated):
     """Guards against two runs of a task whose endpoint announces nothing.
 
--- a/testing/decisions/jobs/test_endpoint_selection.py
+++ b/testing/decisions/jobs/test_endpoint_selection.py
@@ -23,13 +23,15 @@
 OTHER_ADDRESS = members.Address("127.0.0.1", 8_081)
 
 
-def announce(record, *, sequence=1, address=ADDRESS, is_draining=False):
+def announce(
+    record, *, sequence=1, address=ADDRESS, is_draining=False, clock_ms=500
+):
     """Return an announcement of an endpoint."""
     return endpoint_selection.Announcement(
         record=record,
         address=address,
         sequence=sequence,
-        clock_ms=500,
+        clock_ms=clock_ms,
         is_draining=is_draining,
     )
 
@@ -69,6 +71,11 @@
         announcement = announce(record, **options)
         self.perform(self.selection.on_announcement(announcement, self.now()))
 
+    def leave(self, name=RECORD.name):
+        """Deliver the notice of an endpoint that it leaves."""
+        self.selection.on_endpoint_left(name, self.now())
+        self.perform(self.executor.on_endpoint_left(name, self.now()))
+
     def tick(self, after_s=0.05):
         """Advance the clock, and tick both state machines."""
         self.now_s += after_s
@@ -300,3 +307,31 @@
         attached.announce(successor(), sequence=number)
     (reason,) = attached.logged
     assert "i-2 of service 'orders'" in reason
+
+
+def test_a_delayed_announcement_does_not_bring_an_endpoint_back(agent):
+    """Guards against starts on an endpoint that is exiting.
+
+    It sent the announcement before its notice, and still answers.
+    """
+    agent.announce(RECORD)
+    agent.now_s += 1.0
+    agent.leave()
+    agent.announce(RECORD, sequence=2, clock_ms=1_400)
+    assert agent.used is None
+
+
+def test_a_delayed_notice_of_an_earlier_life_has_no_lasting_effect(agent):
+    """Guards against an endpoint that is never used again.
+
+    A notice names no incarnation, and an endpoint may start again under its
+    name before the notice of its earlier life arrives.
+    """
+    agent.announce(RECORD)
+    agent.now_s += 1.0
+    agent.leave()
+    agent.now_s += 1.0
+    agent.announce(RECORD, sequence=2, clock_ms=2_500)
+    agent.tick()
+    assert agent.used == RECORD
+    assert agent.executor.is_accepting()
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -87,8 +87,8 @@
         "`failed`: see `endpoints.ejections`."
     ),
     "runs.given_up": (
-        "`lease=valid` above 0: a fault of this program; report its "
-        "`give_up` lines."
+        "Endpoints end or are cut off with work running; `give_up` lines "
+        "name the runs."
     ),
     "orders.refused": (
         "Rises: entries learn of free capacity too late; see "
