Use the first announcement of a restored endpoint if its number is 0

Cause: the selection compared numbers with 0 before it had seen any, so that the first announcement after a restart, numbered 0, was passed over: for 1.5 s an agent did not learn that its endpoint drains.

Change: numbers start below 0. The test failed before (is_draining False).

--- a/src/_jasminewind/decisions/jobs/endpoint_selection.py
+++ b/src/_jasminewind/decisions/jobs/endpoint_selection.py
@@ -95,7 +95,7 @@
         """Select the endpoint of ``run_executor``."""
         self.executor = run_executor
         # Sequence number of the last announcement that took effect.
-        self.sequence = 0
+        self.sequence = -1
         self.departure: Departure | None = None
         self.services: frozenset[str] = frozenset()
         self.candidates: dict[runs.Incarnation, Candidate] = {}
--- a/testing/decisions/jobs/test_endpoint_selection.py
+++ b/testing/decisions/jobs/test_endpoint_selection.py
@@ -335,3 +335,11 @@
     agent.tick()
     assert agent.used == RECORD
     assert agent.executor.is_accepting()
+
+
+def test_the_first_announcement_of_a_restored_endpoint_takes_effect(agent):
+    """Guards against a restart that misses the announcement numbered 0."""
+    agent.perform(agent.executor.restore_endpoint(RECORD, agent.now()))
+    agent.selection.trust_service(RECORD.service)
+    agent.announce(RECORD, sequence=0, is_draining=True)
+    assert agent.executor.is_draining
