Accept work in a new agent once its predecessor's leases have expired

Callers could see one task run twice at once when an agent process and its endpoint were replaced together.

Cause: an entry gives up what an agent process ran as soon as a new process under the same name accepts work, and a new process accepted work once the endpoint that it attached to listed no unknown run. That proves nothing about another endpoint, which its predecessor used: its runs hold a lease for up to 0.51 s, and the new process took a lease that it had not extended itself for expired.

Change: a new process accepts work once the endpoint that its predecessor had registered lists no unknown run, or 0.51 s after its start. An agent that has never registered an endpoint has no predecessor and does not wait. Left: a predecessor that could not register during its whole life, or not the last change of its endpoint, is taken for none or for one on the endpoint before.

--- a/src/_jasminewind/decisions/jobs/executor.py
+++ b/src/_jasminewind/decisions/jobs/executor.py
@@ -61,10 +61,22 @@
     TICK_S = 0.05
 
     def __init__(
-        self, *, agent: str, meter: metrics.Meter = metrics.NO_METER
+        self,
+        *,
+        agent: str,
+        started_s: float = 0.0,
+        meter: metrics.Meter = metrics.NO_METER,
     ) -> None:
-        """Create the executor of the agent named ``agent``."""
+        """Create the executor of the agent named ``agent``.
+
+        The agent's previous process had ended by ``started_s``.
+        """
         self.meter = meter
+        # Until then a run of the previous process may be in progress, unless
+        # the endpoint that it used lists none.
+        self.earlier_leases_end_s = started_s + leases.MAX_LEASE_S
+        self.may_have_earlier_runs = True
+        self.earlier_endpoint: runs.Incarnation | None = None
         self.endpoint: runs.EndpointRecord | None = None
         self.last_announcement_s = 0.0
         self.lease = leases.EndpointLease()
@@ -184,7 +196,23 @@
             return True
         is_used = self.is_reachable and not self.departure
         has_lapsed = self.lease.has_expired(now.mono_s)
-        return has_lapsed and not is_used
+        return has_lapsed and not is_used and not self.may_have_earlier_runs
+
+    def on_first_start(self) -> None:
+        """Learn that no earlier process of this agent had an endpoint."""
+        self.may_have_earlier_runs = False
+        self.load_changed = True
+
+    def on_earlier_endpoint(self, record: runs.EndpointRecord) -> None:
+        """Learn which endpoint the previous process of this agent used."""
+        self.earlier_endpoint = runs.incarnation(record)
+        self.check_earlier_runs()
+
+    def check_earlier_runs(self) -> None:
+        """Accept work if the endpoint used before lists no unknown run."""
+        if self.is_reconciled and self.incarnation() == self.earlier_endpoint:
+            self.may_have_earlier_runs = False
+            self.load_changed = True
 
     def restore_endpoint(
         self, record: runs.EndpointRecord, now: core.Instant
@@ -295,6 +323,7 @@
             and self.is_reachable
             and not self.is_draining
             and not self.departure
+            and not self.may_have_earlier_runs
             and not self.is_leaving
         )
 
@@ -731,6 +760,7 @@
         if not self.is_reconciled and not unknown and reply.complete:
             self.is_reconciled = True
             self.load_changed = True
+            self.check_earlier_runs()
             self.log("settled", "the endpoint lists no unknown run")
         for run in list(self.allocation.runs.values()):
             reported = listed.get(run.key)
@@ -821,6 +851,11 @@
         self.retry_stops(now)
         if not self.is_renewing and now.mono_s >= self.next_renewal_s:
             self.renew(now)
+        if self.may_have_earlier_runs and now.mono_s > (
+            self.earlier_leases_end_s
+        ):
+            self.may_have_earlier_runs = False
+            self.load_changed = True
         self.end_lapsed_runs("the lease of the endpoint has expired", now)
         self.drop_departed(now)
         silent_s = now.mono_s - self.last_announcement_s
--- a/src/_jasminewind/nodes/job_agent.py
+++ b/src/_jasminewind/nodes/job_agent.py
@@ -74,7 +74,9 @@
         # Name of the last endpoint that has left.
         self.left_endpoint = ""
         self.executor = executor.RunExecutor(
-            agent=self.member.node.name, meter=self.meter
+            agent=self.member.node.name,
+            started_s=self.timers.now().mono_s,
+            meter=self.meter,
         )
         self.selection = endpoint_selection.EndpointSelection(
             run_executor=self.executor
@@ -98,14 +100,16 @@
         self.update_registry(rows)
         self.executor.set_entries(self.registry.entries(), self.timers.now())
 
+    def on_first_start(self) -> None:
+        """Learn that this agent has never registered an endpoint."""
+        self.executor.on_first_start()
+
     def restore(self, row: bytes) -> None:
         """Resume the endpoint of this agent's previous process.
 
         ``row`` is its registration. An endpoint that has announced itself
         meanwhile goes first.
         """
-        if not self.may_restore:
-            return
         registration = registry.decode(row)
         if registration.is_err():
             self.log.warning(
@@ -114,7 +118,10 @@
             )
             return
         endpoint = registration.unwrap().endpoint
-        if endpoint is None or endpoint.is_draining:
+        if endpoint is None:
+            return
+        self.executor.on_earlier_endpoint(endpoint.record)
+        if not self.may_restore or endpoint.is_draining:
             return
         if endpoint.record.name == self.left_endpoint:
             return
--- a/src/_jasminewind/platform/daemon.py
+++ b/src/_jasminewind/platform/daemon.py
@@ -189,7 +189,9 @@
         """Restore the agent, or read again after a failure."""
         if outcome.is_ok():
             row = outcome.unwrap()
-            if row is not None:
+            if row is None:
+                self.node.on_first_start()
+            else:
                 self.node.restore(row)
         elif self.known_endpoint is None and not self.is_stopped:
             self.timers.after(
