Bound the lease after a stop by the grant that stood before it

Callers could see two runs of one task at once: the caller's connection breaks, the stop reaches the agent 0.4 s late or with a repetition, and the endpoint answers renewals but no stop.

Cause: the lease was extended for 0.6 s after the arrival of an unanswered stop. What must be kept is counted from the caller's leaving: it may return 1.3 s later.

Change: the lease is extended up to the end of the grant as it stood when the stop arrived. Acknowledgements travel behind the stop, so that the heartbeat of that grant was sent before the caller left; 0.7 s of grant and 0.51 s of lease end before the caller returns, however late the stop is.

--- a/src/_jasminewind/decisions/jobs/executor.py
+++ b/src/_jasminewind/decisions/jobs/executor.py
@@ -19,10 +19,6 @@
 
 # An unanswered stop is retried after this time.
 STOP_RETRY_S = 0.3
-# A caller whose connection broke may resubmit its job elsewhere after 1.3 s.
-# While a stop is unanswered, the lease is renewed for no longer than this, so
-# that the run expires (0.5 s later) before then.
-MAX_RENEWAL_AFTER_STOP_S = 0.6
 # Long-poll timeouts of renewals: the endpoint replies earlier if a run ends.
 # While runs are active, a lost reply must not hide their ends for long. The
 # idle timeout is short enough to renew the lease of a run that starts
@@ -452,7 +448,9 @@
         """Stop runs of an owner, which repeats this until they have ended.
 
         The order of a run that is not here may still arrive on another link,
-        and the report of one that has ended may be lost.
+        and the report of one that has ended may be lost. The stop may be late
+        itself, so the lease is extended no longer than the grant lasts that
+        was acknowledged before it.
         """
         for key in keys:
             run = self.allocation.runs.get(key)
@@ -465,7 +463,7 @@
                     run,
                     runs.RunOutcome.STOPPED,
                     now,
-                    renew_for_s=MAX_RENEWAL_AFTER_STOP_S,
+                    renew_until_s=self.grants.expires_s(sender),
                 )
 
     def expire_owners(self, now: core.Instant) -> None:
@@ -484,7 +482,10 @@
             )
             for run in orphans:
                 self.stop_run(
-                    run, runs.RunOutcome.STOPPED, now, renew_for_s=0.0
+                    run,
+                    runs.RunOutcome.STOPPED,
+                    now,
+                    renew_until_s=now.mono_s,
                 )
 
     # Starts and stops
@@ -560,14 +561,14 @@
         outcome: runs.RunOutcome,
         now: core.Instant,
         *,
-        renew_for_s: float = math.inf,
+        renew_until_s: float = math.inf,
     ) -> None:
         """Stop a run; a queued one ends at once.
 
-        Until the stop is answered, the lease of the endpoint is renewed for
-        ``renew_for_s`` at most.
+        Until the stop is answered, the lease of the endpoint is renewed up to
+        ``renew_until_s`` at most.
         """
-        run.renew_until_s = min(run.renew_until_s, now.mono_s + renew_for_s)
+        run.renew_until_s = min(run.renew_until_s, renew_until_s)
         if run.state is allocation.RunState.QUEUED:
             outcome = runs.RunOutcome.NOT_STARTED
             self.end_run(run, outcome, now, reason="stopped while queued")
--- a/src/_jasminewind/decisions/jobs/grants.py
+++ b/src/_jasminewind/decisions/jobs/grants.py
@@ -111,6 +111,11 @@
         owner.granted_s = max(owner.granted_s, sent_s)
         return is_new
 
+    def expires_s(self, node: members.NodeId) -> float:
+        """Return when the grant of an owner expires, 0 if it has none."""
+        owner = self.owners.get(node)
+        return 0.0 if owner is None else owner.granted_s + leases.OWNER_GRANT_S
+
     def heartbeat_age_s(self, sequence: int, now_s: float) -> float:
         """Return the age of a heartbeat, infinite if it has expired."""
         sent_s = self.sent_s.get(sequence)
