Ignore heartbeats of an agent process that was replaced

Callers could see one task run twice at once after a link delivered what it held late.

Cause: an entry gives up what the earlier process of an agent ran once another process of that name accepts work, and took any other process for the later one. A heartbeat of the process before, which its kernel or a partition had held, made entries give up the runs of the living process.

Evidence: test_a_late_heartbeat_of_the_earlier_process_ends_no_run failed before (run 3 of a task started while run 1 was in progress).

Change: a heartbeat of a process with a lower incarnation than the known one that accepts work is ignored.

--- a/src/_jasminewind/decisions/jobs/agent_directory.py
+++ b/src/_jasminewind/decisions/jobs/agent_directory.py
@@ -53,6 +53,11 @@
             del self.node_by_name[agent.node.name]
         self.capacities = None
 
+    def is_superseded(self, node: members.NodeId) -> bool:
+        """Tell whether a later process of the same name accepts work."""
+        known = self.node_by_name.get(node.name)
+        return known is not None and known.incarnation > node.incarnation
+
     def replace_predecessor(self, node: members.NodeId) -> agents.Agent | None:
         """Make ``node`` the process of its name; return the earlier one."""
         earlier = self.node_by_name.get(node.name)
--- a/src/_jasminewind/decisions/jobs/owner.py
+++ b/src/_jasminewind/decisions/jobs/owner.py
@@ -388,7 +388,13 @@
         message: runs.AgentBeat,
         now: core.Instant,
     ) -> None:
-        """Record and acknowledge a heartbeat."""
+        """Record and acknowledge a heartbeat.
+
+        One of a process that was replaced has been in its link for long, and
+        says nothing about the runs of the process that replaced it.
+        """
+        if self.directory.is_superseded(sender):
+            return
         agent = self.directory.get(sender)
         if agent is None:
             agent = self.directory.add(sender)
