Model an endpoint that leaves and an agent that is replaced

Change: spec/departures.py, with the rule that a run is reported as ended only on proof, and that a new process accepts work only once the endpoint of its predecessor lists no unknown run or the leases have expired.

Found with it: the row of an agent tells which endpoint the predecessor used only if it is written before the first start there (late_row), and if it is not changed before the new process accepts work (early_row). The code does neither; a process that always waits for one lease needs neither.

--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -4,11 +4,12 @@
 
 from spec import check
 from spec import configuration
+from spec import departures
 from spec import grants
 from spec import ownership
 from spec import starts
 
-MODELS = (ownership, starts, grants)
+MODELS = (ownership, starts, grants, departures)
 
 
 def main() -> int:
--- a/spec/check.py
+++ b/spec/check.py
@@ -59,3 +59,16 @@
 
     stopped = dataclasses.replace(model, transitions=transitions)
     return search(stopped)
+
+
+def reachable_labels(model: minicheck.Protocol) -> frozenset[str]:
+    """Return the labels of all steps of a model."""
+    labels = set()
+
+    def transitions(values: tuple) -> list:
+        steps = model.transitions(values)
+        labels.update(label for label, _ in steps)
+        return steps
+
+    search(dataclasses.replace(model, transitions=transitions))
+    return frozenset(labels)
--- a/testing/spec/test_models.py
+++ b/testing/spec/test_models.py
@@ -3,13 +3,14 @@
 import pytest
 
 from spec import check
+from spec import departures
 from spec import grants
 from spec import ownership
 from spec import starts
 
 CASES = [
     (model, mutation)
-    for model in (ownership, starts, grants)
+    for model in (ownership, starts, grants, departures)
     for mutation in model.MUTATIONS
 ]
 
@@ -38,3 +39,33 @@
     result = check.search(starts.build())
     assert result.exhaustive
     assert result.steps is None
+
+
+def test_departures_hold():
+    """Guards against a run that is given up while its endpoint executes it.
+
+    The endpoint may leave, fall silent or be replaced, and so may the agent.
+    """
+    result = check.search(departures.build())
+    assert result.exhaustive
+    assert result.steps is None
+
+
+def test_departures_reach_every_reason_to_place_a_task_again():
+    """Guards against a model that holds because nothing happens in it."""
+    found = check.reachable_labels(departures.build())
+    assert found >= {
+        "the endpoint lists the end",
+        "the endpoint does not list the run",
+        "the lease has certainly expired",
+        "the process accepts, no unknown run listed",
+        "the process accepts after the leases",
+        "the entry places the task again",
+    }
+
+
+@pytest.mark.parametrize("mutation", departures.MUTATIONS)
+def test_counterexamples_of_departures_are_short(mutation):
+    """Guards against rules that only a contrived sequence needs."""
+    result = check.find_counterexample(departures.build(mutation))
+    assert 0 < (result.steps or 0) <= 12
