Wait for the leases of any predecessor, whichever endpoint it used

Cause: a new agent process took the endpoint that the row of its predecessor names for the one that it had used last. The model of departures shows two sequences in which two runs of a task meet: the row was not written before the first start, or the process in between had changed it (mutations late_row and early_row of its first version).

The process that creates the row of its agent has no predecessor and does not wait; for this no process accepts work before the row is known to exist, which the store tells with the first conditional write.

During an outage of the store a new agent waits, as it knows no entries then either.

--- a/spec/departures.py
+++ b/spec/departures.py
@@ -6,11 +6,10 @@
 reply of another incarnation only make the agent stop the run and let the
 lease expire.
 
-A new process of the agent accepts work once the endpoint that its predecessor
-used lists no unknown run, or once every lease that a predecessor can have
-extended has expired. It learns that endpoint from the row of the agent. A
-process therefore starts runs only on an endpoint that its row names, and
-changes the row only once it accepts work.
+A new process of the agent accepts work once every lease that a predecessor can
+have extended has expired, whatever its own endpoint lists: the predecessor may
+have used another one. It waits for no lease if it registers the agent for the
+first time; a process therefore starts runs only once the agent is registered.
 
 The entry, which lives on, places the task again after the agent's report,
 after a new process accepts work, or after a time without heartbeats. Time
@@ -30,9 +29,7 @@
     "unconfirmed_absence",
     "early_acceptance",
     "short_wait",
-    "unfenced",
-    "late_row",
-    "early_row",
+    "unregistered_start",
     "short_timeout",
     "skipped_renewal",
 )
@@ -46,14 +43,6 @@
 NEVER = -1
 
 
-class Endpoint(enum.IntEnum):
-    """An endpoint of the agent."""
-
-    UNKNOWN = 0
-    FIRST = 1
-    OTHER = 2
-
-
 class Doubt(enum.IntEnum):
     """Why the first process no longer uses the endpoint.
 
@@ -74,8 +63,8 @@
     is set when the run has begun, ``answered`` when the agent knows that no
     start can take effect any more. ``grant`` is the age of the newest
     acknowledged heartbeat, ``silence`` that of the newest received one.
-    ``age`` is that of a later process, ``row`` what the row of the agent
-    names, and ``recalled`` what it named when the process began.
+    ``age`` is that of a later process, ``registered`` is set once a process
+    has registered the agent.
     ``may_place`` is set when the entry has been told that the run has ended,
     ``disturbed`` when there was a reason for an end.
     """
@@ -93,9 +82,7 @@
     process: int = 1
     alive: bool = True
     age: int = 0
-    used: int = Endpoint.FIRST
-    row: int = Endpoint.OTHER
-    recalled: int = Endpoint.UNKNOWN
+    registered: bool = False
     may_place: bool = False
     first_runs: bool = False
     second_runs: bool = False
@@ -127,14 +114,8 @@
 
 
 def begin(state: State) -> State:
-    """Return the state once a later process has read the row."""
-    return state._replace(
-        process=state.process + 1,
-        alive=True,
-        age=0,
-        used=Endpoint.UNKNOWN,
-        recalled=state.row,
-    )
+    """Return the state once a later process has begun."""
+    return state._replace(process=state.process + 1, alive=True, age=0)
 
 
 def time_steps(state: State, mutation: str) -> list:
@@ -245,21 +226,18 @@
     if state.doubt == Doubt.SILENT:
         known = state._replace(doubt=Doubt.NONE)
         steps.append(("the endpoint announces itself again", known))
-    if state.doubt == Doubt.GONE and state.row == Endpoint.FIRST:
-        cleared = state._replace(row=Endpoint.UNKNOWN)
-        steps.append(("the row names no endpoint any more", cleared))
     return steps
 
 
 def first_process_steps(state: State, mutation: str) -> list:
     """Return the starts, stops and reports of the first process."""
     steps = []
-    is_stored = state.row == Endpoint.FIRST
-    if not is_stored and state.doubt == Doubt.NONE:
-        stored = state._replace(row=Endpoint.FIRST)
-        steps.append(("the row names the endpoint", stored))
+    if not state.registered:
+        registered = state._replace(registered=True)
+        steps.append(("the agent is registered", registered))
     if not state.started:
-        if may_use(state) and (is_stored or mutation == "late_row"):
+        is_allowed = state.registered or mutation == "unregistered_start"
+        if may_use(state) and is_allowed:
             sent = state._replace(started=True, start=LEASE, sent_lease=LEASE)
             steps.append(("the agent sends the start", sent))
         if not may_use(state):
@@ -284,27 +262,13 @@
 
 def later_process_steps(state: State, mutation: str) -> list:
     """Return the steps of a process that replaces an earlier one."""
-    if state.used == Endpoint.UNKNOWN:
-        first = state._replace(used=Endpoint.FIRST)
-        other = state._replace(used=Endpoint.OTHER)
-        if mutation == "early_row":
-            first = first._replace(row=Endpoint.FIRST)
-            other = other._replace(row=Endpoint.OTHER)
-        return [
-            ("the process uses the same endpoint", first),
-            ("the process uses another endpoint", other),
-        ]
-    accepting = state._replace(may_place=True, row=state.used)
+    accepting = state._replace(may_place=True, registered=True)
     wait = LEASE - 1 if mutation == "short_wait" else LEASE
     if state.age >= wait:
         return [("the process accepts after the leases", accepting)]
-    if state.used == Endpoint.FIRST:
-        if state.first_runs or not state.exists:
-            return []
-        if mutation != "unfenced":
-            # The read carries a higher fencing token than the start.
-            accepting = accepting._replace(start=NEVER)
-    if state.used == state.recalled or mutation == "early_acceptance":
+    if not state.registered:
+        return [("the process registers the agent and accepts", accepting)]
+    if mutation == "early_acceptance":
         return [("the process accepts, no unknown run listed", accepting)]
     return []
 
--- a/src/_jasminewind/decisions/jobs/executor.py
+++ b/src/_jasminewind/decisions/jobs/executor.py
@@ -68,11 +68,12 @@
         The agent's previous process had ended by ``started_s``.
         """
         self.meter = meter
-        # Until then a run of the previous process may be in progress, unless
-        # the endpoint that it used lists none.
+        # Until then runs of an earlier process may be in progress, on this
+        # endpoint or another.
         self.earlier_leases_end_s = started_s + leases.MAX_LEASE_S
         self.may_have_earlier_runs = True
-        self.earlier_endpoint: runs.Incarnation | None = None
+        # Later processes learn from the registration that this one existed.
+        self.is_registered = False
         self.endpoint: runs.EndpointRecord | None = None
         self.last_announcement_s = 0.0
         self.lease = leases.EndpointLease()
@@ -194,19 +195,18 @@
         has_lapsed = self.lease.has_expired(now.mono_s)
         return has_lapsed and not is_used and not self.may_have_earlier_runs
 
-    def on_first_start(self) -> None:
-        """Learn that no earlier process of this agent had an endpoint."""
-        self.may_have_earlier_runs = False
-        self.load_changed = True
+    def on_registered(self, *, is_first: bool) -> None:
+        """Learn that this agent is registered.
 
-    def on_earlier_endpoint(self, record: runs.EndpointRecord) -> None:
-        """Learn which endpoint the previous process of this agent used."""
-        self.earlier_endpoint = runs.incarnation(record)
-        self.check_earlier_runs()
+        If no process was registered before, none has accepted work.
+        """
+        self.is_registered = True
+        if is_first:
+            self.forget_earlier_runs()
 
-    def check_earlier_runs(self) -> None:
-        """Accept work if the endpoint used before lists no unknown run."""
-        if self.is_reconciled and self.incarnation() == self.earlier_endpoint:
+    def forget_earlier_runs(self) -> None:
+        """Record that no run of an earlier process is in progress."""
+        if self.may_have_earlier_runs:
             self.may_have_earlier_runs = False
             self.load_changed = True
 
@@ -761,7 +761,6 @@
         if not self.is_reconciled and not unknown and reply.complete:
             self.is_reconciled = True
             self.load_changed = True
-            self.check_earlier_runs()
             self.log("settled", "the endpoint lists no unknown run")
         for run in list(self.allocation.runs.values()):
             reported = listed.get(run.key)
@@ -852,11 +851,8 @@
         self.retry_stops(now)
         if not self.is_renewing and now.mono_s >= self.next_renewal_s:
             self.renew(now)
-        if self.may_have_earlier_runs and now.mono_s > (
-            self.earlier_leases_end_s
-        ):
-            self.may_have_earlier_runs = False
-            self.load_changed = True
+        if self.is_registered and now.mono_s > self.earlier_leases_end_s:
+            self.forget_earlier_runs()
         self.end_lapsed_runs("the lease of the endpoint has expired", now)
         self.drop_departed(now)
         silent_s = now.mono_s - self.last_announcement_s
--- a/src/_jasminewind/nodes/job_agent.py
+++ b/src/_jasminewind/nodes/job_agent.py
@@ -100,9 +100,9 @@
         self.update_registry(rows)
         self.executor.set_entries(self.registry.entries(), self.timers.now())
 
-    def on_first_start(self) -> None:
-        """Learn that this agent has never registered an endpoint."""
-        self.executor.on_first_start()
+    def on_registered(self, *, is_first: bool) -> None:
+        """Learn that this agent is registered, or was before."""
+        self.executor.on_registered(is_first=is_first)
 
     def restore(self, row: bytes) -> None:
         """Resume the endpoint of this agent's previous process.
@@ -110,6 +110,9 @@
         ``row`` is its registration. An endpoint that has announced itself
         meanwhile goes first.
         """
+        self.on_registered(is_first=False)
+        if not self.may_restore:
+            return
         registration = registry.decode(row)
         if registration.is_err():
             self.log.warning(
@@ -118,10 +121,7 @@
             )
             return
         endpoint = registration.unwrap().endpoint
-        if endpoint is None:
-            return
-        self.executor.on_earlier_endpoint(endpoint.record)
-        if not self.may_restore or endpoint.is_draining:
+        if endpoint is None or endpoint.is_draining:
             return
         if endpoint.record.name == self.left_endpoint:
             return
--- a/src/_jasminewind/platform/daemon.py
+++ b/src/_jasminewind/platform/daemon.py
@@ -84,6 +84,7 @@
             table=registry.TABLE if is_entry else registry.AGENT_TABLE,
             key=settings.name,
             timer_service=self.timers,
+            on_exists=self.on_registered,
         )
         self.watchers = [
             rows.TableWatcher(
@@ -185,13 +186,16 @@
         reading.addCallback(self.on_registration_read)
         reading.addErrback(self.node.report_failure)
 
+    def on_registered(self, is_new: bool) -> None:
+        """Tell an agent that it is registered, or was before."""
+        if self.settings.role is members.Role.AGENT:
+            self.node.on_registered(is_first=is_new)
+
     def on_registration_read(self, outcome: typing.Any) -> None:
         """Restore the agent, or read again after a failure."""
         if outcome.is_ok():
             row = outcome.unwrap()
-            if row is None:
-                self.node.on_first_start()
-            else:
+            if row is not None:
                 self.node.restore(row)
         elif self.known_endpoint is None and not self.is_stopped:
             self.timers.after(
--- a/src/_jasminewind/platform/rows.py
+++ b/src/_jasminewind/platform/rows.py
@@ -197,11 +197,18 @@
         table: str,
         key: str,
         timer_service: timers.TimerService,
+        on_exists: collections.abc.Callable[[bool], None] | None = None,
     ) -> None:
+        """Write the row ``key`` of ``table``.
+
+        ``on_exists`` is called with whether this writer has created the row,
+        once the row is known to exist.
+        """
         self.store = store
         self.table = table
         self.key = key
         self.timers = timer_service
+        self.on_exists = on_exists
         # Most rows are new; otherwise the first response names the version.
         self.version = 0
         self.value = b""
@@ -233,10 +240,13 @@
         reply = await self.store.put(self.table, self.key, value, self.version)
         match reply:
             case result.Ok(version):
+                self.report_existence(is_new=not self.version)
                 self.version = version
                 self.written = value
                 return 0.0
             case result.Err(OtherVersion(version)):
+                if version:
+                    self.report_existence(is_new=False)
                 self.version = version
                 return CONFLICT_RETRY_DELAY_S
             case result.Err(error):
@@ -248,6 +258,12 @@
                 )
         return RETRY_DELAY_S
 
+    def report_existence(self, *, is_new: bool) -> None:
+        """Report once that the row exists, and whether it was created here."""
+        on_exists, self.on_exists = self.on_exists, None
+        if on_exists is not None:
+            on_exists(is_new)
+
     def on_unexpected_error(self, failure: typing.Any) -> float:
         """Log an exception of this program; return the retry delay."""
         self.log.error(
--- a/testing/decisions/jobs/cluster.py
+++ b/testing/decisions/jobs/cluster.py
@@ -113,13 +113,10 @@
 
     def start_agent(self, name, incarnation=1):
         """Start or restart the agent process of an endpoint."""
-        self.add(
-            Process(
-                name,
-                executor.RunExecutor(agent=name),
-                incarnation=incarnation,
-            )
-        )
+        is_first = name not in self.processes
+        state_machine = executor.RunExecutor(agent=name, started_s=self.now_s)
+        state_machine.on_registered(is_first=is_first)
+        self.add(Process(name, state_machine, incarnation=incarnation))
         self.at(0.01, lambda: self.announce(name))
 
     def add(self, process):
--- a/testing/decisions/jobs/test_endpoint_selection.py
+++ b/testing/decisions/jobs/test_endpoint_selection.py
@@ -54,6 +54,7 @@
     def __init__(self):
         self.now_s = 100.0
         self.executor = executor.RunExecutor(agent="agent-1")
+        self.executor.on_registered(is_first=True)
         self.selection = endpoint_selection.EndpointSelection(
             run_executor=self.executor
         )
--- a/testing/decisions/jobs/test_paused_agent.py
+++ b/testing/decisions/jobs/test_paused_agent.py
@@ -58,6 +58,7 @@
     def __init__(self):
         self.now_s = 10.0
         self.executor = executor.RunExecutor(agent="agent-0")
+        self.executor.on_registered(is_first=True)
         self.executor.set_entries(
             tuple(
                 registry.EntryAddress(node.name, members.Address(node.name, 1))
--- a/testing/platform/test_entry_and_agent.py
+++ b/testing/platform/test_entry_and_agent.py
@@ -10,6 +10,7 @@
 
 from _jasminewind import job_settings
 from _jasminewind import members
+from _jasminewind.decisions.jobs import leases
 from _jasminewind.decisions.jobs import registry
 from _jasminewind.experiment import ports
 from _jasminewind.platform import daemon
@@ -725,6 +726,27 @@
     assert reactor.run(replace) < 0
 
 
+def test_an_agent_accepts_no_work_before_it_is_registered(system):
+    """Guards against a process whose successor cannot know that it existed.
+
+    The successor would not wait for the leases that this one extended.
+    """
+
+    async def start():
+        system.store.is_losing_answers = True
+        await system.send_heartbeat()
+        executor = system.daemons[1].node.executor
+        await reactor.until(lambda: executor.is_reconciled)
+        await reactor.until(lambda: system.store.late)
+        await reactor.sleep(2 * leases.MAX_LEASE_S)
+        before = executor.is_accepting()
+        system.store.is_losing_answers = False
+        await reactor.until(executor.is_accepting)
+        return before
+
+    assert not reactor.run(start)
+
+
 @pytest.mark.parametrize("role", ["entry", "agent"])
 def test_an_unexpected_exception_ends_neither_process_nor_link(system, role):
     """Guards against one bad event that takes other work down."""
--- a/testing/platform/test_row_writer.py
+++ b/testing/platform/test_row_writer.py
@@ -46,12 +46,13 @@
     """Return a function that starts a process's writer of one row."""
     writers = []
 
-    def make():
+    def make(on_exists=None):
         writer = rows.RowWriter(
             store=rows.RowStore(reactor=reactor.reactor, host=HOST, port=port),
             table=ROW[0],
             key=ROW[1],
             timer_service=timers.TimerService(clock=reactor.reactor),
+            on_exists=on_exists,
         )
         writers.append(writer)
         return writer
@@ -136,6 +137,35 @@
     reactor.run(write)
 
 
+@pytest.mark.parametrize("is_lost", [False, True])
+@pytest.mark.parametrize("has_row", [False, True])
+def test_the_writer_that_creates_a_row_learns_it(
+    store, make_writer, has_row, is_lost
+):
+    """Guards against a process that takes itself for the first of its name.
+
+    A writer whose answer was lost cannot tell its own row from another's.
+    """
+    found = []
+
+    async def write():
+        if has_row:
+            store.put(*ROW, b"0")
+        writer = make_writer(found.append)
+        store.is_losing_answers = is_lost
+        writer.set(b"1")
+        if is_lost:
+            await reactor.until(lambda: store.late)
+            store.apply(store.late.pop())
+            store.is_losing_answers = False
+        await reactor.until(lambda: writer.written == b"1")
+        writer.set(b"2")
+        await reactor.until(lambda: writer.written == b"2")
+
+    reactor.run(write)
+    assert found == [not has_row and not is_lost]
+
+
 def test_a_write_is_repeated_while_the_store_is_down(store, make_writer):
     """Guards against a process that stays unknown after an outage."""
 
--- a/testing/spec/test_models.py
+++ b/testing/spec/test_models.py
@@ -58,7 +58,7 @@
         "the endpoint lists the end",
         "the endpoint does not list the run",
         "the lease has certainly expired",
-        "the process accepts, no unknown run listed",
+        "the process registers the agent and accepts",
         "the process accepts after the leases",
         "the entry places the task again",
     }
