Let endpoints of the soak leave, fall silent and restart

Change: a third group of faults. An endpoint drains and leaves, or leaves at once, and executes its runs for up to 0.5 s after its notice; its heartbeats stop for 5 to 7 s; it restarts under its identifier, and a late call of the earlier instance follows; its agent restarts while it is cut off, and another endpoint announces itself. Lists of runs name the time of birth, and sequences start anew with each instance, as the platform has it. Groups take the place of `has_combined`. Violations have a time and name the endpoints.

--- a/testing/decisions/jobs/endpoint.py
+++ b/testing/decisions/jobs/endpoint.py
@@ -136,7 +136,10 @@
             peer.advance(now_s)
             for other in peer.running:
                 if other.task == key.task and not peer.is_down:
-                    self.violations.append(f"{key} starts while {other} runs")
+                    self.violations.append(
+                        f"{key} starts on {self.record.name} while {other} "
+                        f"runs on {peer.record.name}"
+                    )
 
     def check_capacity(self, key):
         """Record a violation if the runs exceed the capacity."""
--- a/testing/platform/fake_platform.py
+++ b/testing/platform/fake_platform.py
@@ -144,9 +144,13 @@
 
 
 class FakeMachine(resource.Resource):
-    """Endpoint that serves the calls of its agent, unless it is cut off."""
+    """Endpoint that serves the calls of its agent, unless it is cut off.
+
+    With ``names_birth`` its lists of runs contain the time of its start.
+    """
 
     isLeaf = True
+    names_birth = False
 
     def __init__(self, reactor, name, *, born_s):
         super().__init__()
@@ -230,6 +234,8 @@
                 for e in reply.ended
             ],
         }
+        if self.names_birth:
+            state["born"] = self.fake.record.born_ms
         wait_s = min(body.get("wait-ms", 0) / 1000, 0.02)
 
         def respond():
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -1,27 +1,77 @@
 """Random fault injection for the soak; most faults are undone in time."""
 
+import dataclasses
+import enum
 import signal
 
 from testing.decisions.jobs import test_registry
 from testing.soak import proxy as proxies
 
 MAX_FAULT_S = 3.0
+# An agent that hears nothing for 4.5 s may take its endpoint for gone.
+SILENCE_S = (5.0, 7.0)
+# Together at most ``MAX_FAULT_S``.
+DRAIN_S = (0.5, 2.0)
+MAX_LINGER_S = 0.5
+ABSENCES_S = (0.0, 0.5)
+# Period of the first announcements of an endpoint, which no agent has
+# acknowledged.
+FIRST_HEARTBEAT_PERIOD_S = 0.1
+FIRST_HEARTBEATS = 12
 ODD_ROWS = list(test_registry.ODD_VALUES.values())
 
 
-class Faults:
-    """Draws faults from a seeded generator and injects them.
+class Group(enum.StrEnum):
+    """Group of faults.
 
-    Without the combined faults a seed draws what it drew before they were
-    added.
+    A seed draws the same faults as long as it is played with the same groups.
+    New kinds of faults therefore get a new group.
     """
 
-    def __init__(self, fleet, rng, *, has_combined=True):
+    SINGLE = "single"
+    # Cancelled jobs too.
+    COMBINED = "combined"
+    # Endpoints that leave, fall silent or are replaced.
+    ENDPOINTS = "endpoints"
+
+
+ALL_GROUPS = tuple(Group)
+
+
+@dataclasses.dataclass(frozen=True)
+class Injection:
+    """A fault that was injected."""
+
+    at_s: float
+    kind: str
+    text: str
+
+
+class Faults:
+    """Draws faults from a seeded generator and injects them."""
+
+    def __init__(self, fleet, rng, *, groups=ALL_GROUPS):
         self.fleet = fleet
         self.rng = rng
         self.version = 1
         self.injected = []
-        self.injections = (
+        by_group = {
+            Group.SINGLE: self.single_faults(),
+            Group.COMBINED: self.combined_faults(),
+            Group.ENDPOINTS: self.endpoint_faults(),
+        }
+        self.injections = [
+            injection
+            for group in Group
+            if group in groups
+            for injection in by_group[group]
+        ]
+
+    # A fault that is listed twice is drawn twice as often.
+
+    def single_faults(self):
+        """Return faults of one process, connection, store or endpoint."""
+        return (
             self.kill,
             self.kill_entry,
             self.kill_entry,
@@ -42,32 +92,60 @@
             self.hang_endpoint_tasks,
             self.configure,
         )
-        if has_combined:
-            self.injections += (
-                self.reset_entry,
-                self.reset_entry,
-                self.silence_links,
-                self.announce_foreign,
-                self.write_odd_row,
-            )
+
+    def combined_faults(self):
+        """Return faults of several connections, and data of others."""
+        return (
+            self.reset_entry,
+            self.reset_entry,
+            self.silence_links,
+            self.announce_foreign,
+            self.write_odd_row,
+        )
+
+    def endpoint_faults(self):
+        """Return changes of the endpoint of an agent."""
+        return (
+            self.drain_endpoint,
+            self.drain_endpoint,
+            self.remove_endpoint,
+            self.remove_endpoint,
+            self.silence_endpoint,
+            self.silence_endpoint,
+            self.restart_endpoint,
+            self.restart_endpoint,
+            self.replace_endpoint_and_agent,
+            self.replace_endpoint_and_agent,
+        )
+
+    def counts(self):
+        """Return how often each kind that may be drawn was injected."""
+        kinds = [injection.kind for injection in self.injected]
+        return {
+            injection.__name__: kinds.count(injection.__name__)
+            for injection in self.injections
+        }
 
     def inject(self):
         """Inject one drawn fault."""
         injection = self.rng.choice(self.injections)
-        self.injected.append(
-            (round(self.fleet.reactor.seconds(), 2), injection())
-        )
+        at_s = round(self.fleet.reactor.seconds(), 2)
+        self.injected.append(Injection(at_s, injection.__name__, injection()))
 
     def schedule_undo(self, call):
         """Call ``call`` after a random time; return that time."""
         delay_s = self.rng.uniform(0.1, MAX_FAULT_S)
-        self.fleet.reactor.callLater(delay_s, self.undo_unless_stopped, call)
+        self.schedule(delay_s, call)
         return delay_s
 
-    def undo_unless_stopped(self, call):
-        """Call ``call`` unless the fleet has stopped."""
-        if not self.fleet.is_stopped:
-            call()
+    def schedule(self, delay_s, call):
+        """Call ``call`` after a time unless the fleet has stopped by then."""
+
+        def call_unless_stopped():
+            if not self.fleet.is_stopped:
+                call()
+
+        self.fleet.reactor.callLater(delay_s, call_unless_stopped)
 
     def draw_process(self):
         """Draw a process."""
@@ -110,21 +188,13 @@
         """Shut a process down gracefully and restart it once it exits."""
         process = self.draw_process()
         process.send_signal(signal.SIGTERM)
-        self.fleet.reactor.callLater(
-            0.5,
-            self.undo_unless_stopped,
-            lambda: self.start_after_exit(process),
-        )
+        self.schedule(0.5, lambda: self.start_after_exit(process))
         return f"terminate {process.name}"
 
     def start_after_exit(self, process):
         """Start a process again once it has exited."""
         if process.is_running():
-            self.fleet.reactor.callLater(
-                0.2,
-                self.undo_unless_stopped,
-                lambda: self.start_after_exit(process),
-            )
+            self.schedule(0.2, lambda: self.start_after_exit(process))
         else:
             process.start()
 
@@ -210,13 +280,14 @@
         """Send an agent a heartbeat of an endpoint that is not there."""
         name, _ = self.draw_endpoint()
         service = self.rng.choice(("label-printers", "orders"))
-        self.fleet.send_heartbeat(
-            name,
-            endpoint=f"x-{self.rng.randint(1, 3)}",
+        foreign = f"x-{self.rng.randint(1, 3)}"
+        heartbeat = self.fleet.heartbeat(
+            self.fleet.machines[name],
             service=service,
             address="127.0.0.1:9",
             born=2_000_000_000_000,
         )
+        self.fleet.send(name, heartbeat.renamed(foreign))
         return f"foreign heartbeat of service {service} to {name}"
 
     def write_odd_row(self):
@@ -276,8 +347,8 @@
 
     def crash_endpoint(self):
         """Crash an endpoint and start a new instance."""
-        name, _ = self.draw_endpoint()
-        self.fleet.restart_endpoint(name)
+        name, machine = self.draw_endpoint()
+        self.fleet.start_endpoint(machine)
         return f"crash the endpoint of {name}"
 
     def fail_endpoint_tasks(self):
@@ -297,3 +368,117 @@
             lambda: setattr(instance, fault, False)
         )
         return f"{fault} at the endpoint of {name} for {duration_s:.2f} s"
+
+    def drain_endpoint(self):
+        """Drain an endpoint, then let it leave."""
+        name, machine = self.draw_endpoint()
+        drain_s = self.rng.uniform(*DRAIN_S)
+        leave, text = self.draw_leave(name, machine)
+        machine.fake.is_draining = True
+        self.fleet.announce(name, machine)
+        self.schedule(drain_s, leave)
+        return f"drain the endpoint of {name} for {drain_s:.2f} s; {text}"
+
+    def remove_endpoint(self):
+        """Let an endpoint leave that has not drained."""
+        name, machine = self.draw_endpoint()
+        leave, text = self.draw_leave(name, machine)
+        leave()
+        return f"the endpoint of {name}: {text}"
+
+    def draw_leave(self, name, machine):
+        """Return a function that lets an endpoint leave, and its text.
+
+        It sends its notice, executes its runs for a while, and ends. A new
+        instance starts at once or later.
+        """
+        instance = machine.fake
+        linger_s = self.rng.uniform(0.0, MAX_LINGER_S)
+        absence_s = self.rng.choice(ABSENCES_S)
+
+        def leave():
+            if machine.fake is instance and not instance.is_down:
+                instance.has_left = True
+                self.fleet.send(name, self.fleet.leave_notice(machine))
+                self.schedule(linger_s, end)
+
+        def end():
+            if machine.fake is instance:
+                self.fleet.end_endpoint(machine)
+                self.schedule(absence_s, start)
+
+        def start():
+            if machine.fake is instance:
+                self.fleet.start_endpoint(machine)
+
+        return leave, (
+            f"it leaves, ends {linger_s:.2f} s later and is replaced "
+            f"{absence_s:.2f} s after that"
+        )
+
+    def silence_endpoint(self):
+        """Stop the heartbeats of an endpoint that answers calls."""
+        name, machine = self.draw_endpoint()
+        instance = machine.fake
+        instance.is_silent = True
+        duration_s = self.rng.uniform(*SILENCE_S)
+        self.schedule(
+            duration_s, lambda: setattr(instance, "is_silent", False)
+        )
+        return f"no heartbeats of the endpoint of {name}, {duration_s:.2f} s"
+
+    def restart_endpoint(self):
+        """Restart an endpoint under its identifier.
+
+        What the earlier instance sent arrives after the new one registered.
+        """
+        name, machine = self.draw_endpoint()
+        kind = self.rng.choice(("ready", "draining", "leave"))
+        delay_s = self.rng.uniform(0.05, 1.0)
+        if kind == "leave":
+            late = self.fleet.leave_notice(machine)
+        else:
+            late = self.fleet.heartbeat(machine, state=kind)
+        self.fleet.start_endpoint(machine, identifier=machine.fake.record.name)
+        self.fleet.announce(name, machine)
+        self.schedule(delay_s, lambda: self.fleet.send(name, late))
+        return (
+            f"restart the endpoint of {name} as {machine.fake.record.name}; "
+            f"a late call of the earlier instance ({kind}) {delay_s:.2f} s "
+            "later"
+        )
+
+    def replace_endpoint_and_agent(self):
+        """Cut an endpoint off, restart its agent and announce another one.
+
+        The endpoint that is cut off executes its runs until the lease ends.
+        """
+        name, machine = self.draw_endpoint()
+        spare = self.fleet.spare_machines[name]
+        proxy = self.fleet.proxies[f"{name}-endpoint"]
+        process = self.fleet.processes[name]
+        start_s = self.rng.uniform(0.0, 0.1)
+        duration_s = self.rng.uniform(1.5, MAX_FAULT_S)
+        proxy.dropped_directions = frozenset(proxies.Direction)
+        machine.fake.is_silent = True
+        process.kill()
+        self.schedule(start_s, process.start)
+        self.fleet.start_endpoint(spare)
+        for number in range(FIRST_HEARTBEATS):
+            self.schedule(
+                number * FIRST_HEARTBEAT_PERIOD_S,
+                lambda: self.fleet.announce(name, spare),
+            )
+
+        def undo():
+            proxy.reset()
+            proxy.dropped_directions = frozenset()
+            self.fleet.end_endpoint(spare)
+            self.fleet.start_endpoint(machine)
+
+        self.schedule(duration_s, undo)
+        return (
+            f"cut off the endpoint of {name}, restart the agent after "
+            f"{start_s:.2f} s, announce {spare.fake.record.name} for "
+            f"{duration_s:.2f} s"
+        )
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -1,6 +1,8 @@
 """Entry and agent processes behind proxies, with fake dependencies."""
 
 import atexit
+import collections
+import dataclasses
 import json
 import os
 import pathlib
@@ -70,8 +72,57 @@
         return found
 
 
+@dataclasses.dataclass(frozen=True)
+class Notice:
+    """What an endpoint sends to its agent of its own accord."""
+
+    method: str
+    endpoint: str
+    body: bytes
+
+    def renamed(self, endpoint):
+        """Return the same notice of another endpoint."""
+        return dataclasses.replace(self, endpoint=endpoint)
+
+
+class Endpoint(fake.FakeEndpoint):
+    """Instance of a fake endpoint, with what it announces of itself."""
+
+    def __init__(self, name, *, born_s):
+        super().__init__(name, cores=CORES, born_s=born_s)
+        self.is_draining = False
+        self.is_silent = False
+        self.has_left = False
+        self.sequence = 0
+
+    def announces(self):
+        """Tell whether it sends heartbeats."""
+        return not (self.is_down or self.is_silent or self.has_left)
+
+    def start(self, action, now_s, work_s):
+        """Start a run; note when it violates an invariant."""
+        count = len(self.violations)
+        reply = super().start(action, now_s, work_s)
+        self.violations[count:] = [
+            f"{now_s:.2f} {text}" for text in self.violations[count:]
+        ]
+        return reply
+
+
 class Machine(fake_platform.FakeMachine):
-    """Fake endpoint; the specification of a task sets its run time."""
+    """Runs one endpoint; the specification of a task sets its run time.
+
+    ``port`` is where its agent calls it.
+    """
+
+    names_birth = True
+
+    def __init__(self, reactor, agent):
+        super().__init__(reactor, "", born_s=0.0)
+        self.fake = Endpoint("", born_s=0.0)
+        self.fake.is_down = True
+        self.agent = agent
+        self.port = 0
 
     def work(self, body):
         """Return the resources of a task and its run time in seconds."""
@@ -104,6 +155,12 @@
             stderr=self.log,
         )
 
+    def kill(self):
+        """Kill the process and wait until it has ended."""
+        self.send_signal(signal.SIGKILL)
+        if self.child is not None:
+            self.child.wait(END_LIMIT_S)
+
     def is_running(self):
         """Tell whether the process exists, running or paused."""
         return self.child is not None and self.child.poll() is None
@@ -116,9 +173,7 @@
     def close(self):
         """Kill the process and close its log."""
         atexit.unregister(self.close)
-        self.send_signal(signal.SIGKILL)
-        if self.child is not None:
-            self.child.wait(END_LIMIT_S)
+        self.kill()
         self.log.close()
 
 
@@ -134,13 +189,14 @@
         self.proxies = {}
         self.store_views = {}
         self.machines = {}
-        self.instance_counts = {}
+        # Further machines of the agents, for other endpoints.
+        self.spare_machines = {}
+        self.instance_counts = collections.Counter()
         self.control_ports = {}
         self.processes = {}
         self.caller_ports = {}
         self.readiness_ports = {}
         self.listeners = []
-        self.sequence = 0
         self.is_stopped = False
         # All instances of all endpoints, for the check on duplicate runs.
         self.endpoints = []
@@ -213,11 +269,12 @@
 
     async def add_agent(self, name):
         """Set up an agent without starting it, and its endpoint."""
-        self.machines[name] = Machine(self.reactor, "", born_s=0.0)
-        self.instance_counts[name] = 0
-        self.restart_endpoint(name)
-        port = await self.listen(self.machines[name])
-        await self.proxy(f"{name}-endpoint", port)
+        machine = self.machines[name] = Machine(self.reactor, name)
+        spare = self.spare_machines[name] = Machine(self.reactor, name)
+        self.start_endpoint(machine)
+        port = await self.listen(machine)
+        machine.port = await self.proxy(f"{name}-endpoint", port)
+        spare.port = await self.listen(spare)
         self.control_ports[name] = self.ports.take()
         control = f"{HOST}:{self.control_ports[name]}"
         await self.add_process(
@@ -255,44 +312,75 @@
         config = {**fake_platform.CONFIGURATION, "version": version}
         self.store.put("op", "config", json.dumps(config).encode())
 
-    def restart_endpoint(self, name):
-        """Crash an endpoint and start a new instance."""
-        machine = self.machines[name]
-        machine.fake.is_down = True
-        machine.fake.running.clear()
-        self.instance_counts[name] += 1
-        machine.fake = fake.FakeEndpoint(
-            f"i-{name}-{self.instance_counts[name]}",
-            cores=CORES,
+    def start_endpoint(self, machine, identifier=""):
+        """Start a new instance of an endpoint, by default under a new name.
+
+        The earlier one ends.
+        """
+        self.end_endpoint(machine)
+        self.instance_counts[machine.agent] += 1
+        machine.fake = Endpoint(
+            identifier
+            or f"i-{machine.agent}-{self.instance_counts[machine.agent]}",
             born_s=self.reactor.seconds(),
         )
         machine.fake.peers = self.endpoints
         self.endpoints.append(machine.fake)
+        machine.is_cut_off = False
+
+    def end_endpoint(self, machine):
+        """End the instance of an endpoint, and all that runs on it."""
+        machine.fake.advance(self.reactor.seconds())
+        machine.fake.is_down = True
+        machine.fake.running.clear()
+        machine.is_cut_off = True
 
     def send_heartbeats(self):
         """Send heartbeats of all endpoints periodically."""
         if self.is_stopped:
             return
-        for name in self.machines:
-            self.send_heartbeat(name)
+        for machines in (self.machines, self.spare_machines):
+            for name, machine in machines.items():
+                self.announce(name, machine)
         self.reactor.callLater(HEARTBEAT_INTERVAL_S, self.send_heartbeats)
 
-    def send_heartbeat(self, name, endpoint="", **fields):
-        """Send a heartbeat of an endpoint to an agent, by default its own."""
-        found = self.machines[name].fake
-        self.sequence += 1
+    def announce(self, name, machine):
+        """Send a heartbeat of an endpoint to an agent if it sends any."""
+        if machine.fake.announces():
+            self.send(name, self.heartbeat(machine))
+
+    def heartbeat(self, machine, **fields):
+        """Return the next heartbeat of an endpoint."""
+        found = machine.fake
+        found.sequence += 1
         body = {
             **fake_platform.HEARTBEAT,
-            "address": f"{HOST}:{self.proxies[f'{name}-endpoint'].port}",
+            "address": f"{HOST}:{machine.port}",
             "born": found.record.born_ms,
             "clock-ms": found.clock_ms(self.reactor.seconds()),
-            "sequence": self.sequence,
+            "sequence": found.sequence,
+            "state": "draining" if found.is_draining else "ready",
             **fields,
         }
-        path = f"/-/Instances.Heartbeat/{endpoint or found.record.name}"
+        return Notice(
+            "Heartbeat", found.record.name, json.dumps(body).encode()
+        )
+
+    def leave_notice(self, machine):
+        """Return the notice of an endpoint that it leaves."""
+        body = {"born": machine.fake.record.born_ms}
+        return Notice(
+            "Leave", machine.fake.record.name, json.dumps(body).encode()
+        )
+
+    def send(self, name, notice):
+        """Send a notice to an agent."""
         client = self.client(self.control_ports[name])
         sending = client.send(
-            b"POST", path, json.dumps(body).encode(), timeout_s=1.0
+            b"POST",
+            f"/-/Instances.{notice.method}/{notice.endpoint}",
+            notice.body,
+            timeout_s=1.0,
         )
         sending.addBoth(lambda _: client.close())
 
@@ -313,6 +401,7 @@
             view.drops_answers = False
         for machine in self.machines.values():
             machine.fake.is_faulty = machine.fake.is_hanging = False
+            machine.fake.is_silent = False
         for process in self.processes.values():
             process.send_signal(signal.SIGCONT)
             process.start()
--- a/testing/soak/soak.py
+++ b/testing/soak/soak.py
@@ -31,7 +31,9 @@
     seed: int
     jobs: int
     completed: int
-    injected: tuple[tuple[float, str], ...]
+    injected: tuple[faults.Injection, ...]
+    # How often each kind of fault that may be drawn was injected.
+    fault_counts: dict[str, int]
     violations: tuple[str, ...]
 
 
@@ -46,21 +48,19 @@
     return True
 
 
-async def run(seed, *, duration_s, folder, agents=6, has_combined=True):
-    """Run one soak and return its result.
-
-    ``has_combined`` adds cancellations and the combined faults.
-    """
+async def run(seed, *, duration_s, folder, agents=6, groups=faults.ALL_GROUPS):
+    """Run one soak with some groups of faults and return its result."""
     rng = random.Random(seed)
     fleet = fleets.Fleet(folder, agents=agents)
-    job_callers = callers.Callers(fleet, rng, cancels=has_combined)
-    injector = faults.Faults(fleet, rng, has_combined=has_combined)
+    cancels = faults.Group.COMBINED in groups
+    job_callers = callers.Callers(fleet, rng, cancels=cancels)
+    injector = faults.Faults(fleet, rng, groups=groups)
     violations = []
     try:
         if not await ends_within(START_LIMIT_S, fleet.start()):
             violations.append("the fleet was not ready after its start")
         await submit_under_faults(fleet, job_callers, injector, duration_s)
-        # All scheduled undos have run after this.
+        # After this only heartbeats of silent endpoints are still missing.
         await reactors.sleep(faults.MAX_FAULT_S)
         fleet.recover()
         calm_s = fleet.reactor.seconds()
@@ -84,6 +84,7 @@
             for _, answer in submission.answers
         ),
         injected=tuple(injector.injected),
+        fault_counts=injector.counts(),
         violations=tuple(violations),
     )
 
