Log the unhandled error that ends a daemon

Cause: a daemon of the users' platform that failed before its reactor ran, or out of it, printed a traceback on stderr and left no line in its log.

Change: main() logs the error with its traceback as a critical line before the process ends with exit code 1. The line passes the rate limit of the log.

Errors in callbacks of the reactor do not end the process and are as before.

--- a/src/_jasminewind/logs.py
+++ b/src/_jasminewind/logs.py
@@ -97,6 +97,10 @@
         reserved = self.lines_per_s // RESERVED_DIVISOR if is_routine else 0
         return self.tokens >= 1.0 + reserved
 
+    def allow_line(self) -> None:
+        """Let the next line pass, however many were written."""
+        self.tokens = max(self.tokens, 1.0)
+
     def write(self, text: str) -> int:
         """Write one line, or count it as dropped."""
         if not self.has_room() or not self.flush_unwritten():
--- a/src/_jasminewind/platform/daemon.py
+++ b/src/_jasminewind/platform/daemon.py
@@ -370,6 +370,20 @@
         stream=typing.cast(typing.TextIO, log_stream),
     )
 
+    try:
+        run(settings, log_stream)
+    except Exception:
+        log_stream.allow_line()
+        structlog.get_logger("daemon").critical(
+            "ended by an unhandled error", exc_info=True
+        )
+        raise
+
+
+def run(
+    settings: job_settings.JobSettings, log_stream: logs.RateLimitedStream
+) -> None:
+    """Run the daemon in the reactor."""
     from twisted.internet import reactor as installed
 
     reactor = typing.cast(typing.Any, installed)
--- a/testing/platform/test_startup.py
+++ b/testing/platform/test_startup.py
@@ -10,6 +10,26 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PROGRAM = ROOT / "src" / "jasminewindd.py"
+# Runs a process whose call of ``{}`` fails.
+FAILING = """
+from unittest import mock
+from twisted.internet import reactor
+from _jasminewind.nodes import job_agent
+from _jasminewind.platform import daemon
+with mock.patch.object({}, side_effect=MemoryError("no room")):
+    daemon.main()
+"""
+SETTINGS = {
+    "role": "agent",
+    "name": "agent-0",
+    "region": "r",
+    "failure_domain": "a",
+    "host": "127.0.0.1",
+    "link_port": 1,
+    "store": "127.0.0.1:1",
+    "control": "127.0.0.1:1",
+    "log_lines_per_s": 1,
+}
 PRINT_MODULES = "; import json, sys; print(json.dumps(sorted(sys.modules)))"
 ROLES = {
     "entry": ("nodes.job_entry", "platform.ingress"),
@@ -89,3 +109,29 @@
     assert found.returncode == 2
     (line,) = found.stderr.splitlines()
     assert reason in line
+
+
+@pytest.mark.parametrize(
+    "target",
+    [
+        'job_agent.JobAgent, "__init__"',
+        'daemon.clocks, "use_boottime_clock"',
+        'reactor, "run"',
+    ],
+)
+def test_an_unhandled_error_is_logged_before_the_end(tmp_path, target):
+    """Guards against a process that ends without saying why."""
+    settings = tmp_path / "settings.json"
+    settings.write_text(json.dumps(SETTINGS))
+    found = subprocess.run(
+        [sys.executable, "-c", FAILING.format(target)],
+        env={**os.environ, "JASMINEWIND_NODE_FILE": str(settings)},
+        capture_output=True,
+        text=True,
+    )
+    assert found.returncode == 1
+    line = json.loads(found.stdout.splitlines()[-1])
+    assert line["event"] == "ended by an unhandled error"
+    assert (line["node"], line["level"]) == ("agent-0", "critical")
+    assert line["exception"][0]["exc_type"] == "MemoryError"
+    assert "MemoryError: no room" in found.stderr
--- a/testing/test_logs.py
+++ b/testing/test_logs.py
@@ -124,6 +124,20 @@
     assert written[11:] == ["later"]
 
 
+def test_the_last_line_of_a_process_passes_beyond_the_rate(pipe):
+    """Guards against an error that is dropped after many lines."""
+    reader, writer = pipe
+    stream = logs.RateLimitedStream(
+        descriptor=writer, lines_per_s=2, seconds=lambda: 0.0
+    )
+    for number in range(5):
+        stream.write(f"line {number}\n")
+    stream.allow_line()
+    stream.write("last\n")
+    written = os.read(reader, 10_000).decode().splitlines()
+    assert written[-1] == "last"
+
+
 def test_a_blocked_reader_does_not_block_the_writer(pipe):
     """Guards against a process that blocks on a full log pipe."""
     reader, writer = pipe
