Log the exit of each process of the fleets for tests

Cause: a process that a fleet or the soak had started could be gone without a line, and the soak did not notice one that ended by itself.

Change: a thread waits for each child and appends its exit code or signal to the child's log.

--- a/src/_jasminewind/experiment/fleets.py
+++ b/src/_jasminewind/experiment/fleets.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 import typing
 import urllib.error
@@ -15,6 +16,7 @@
 import msgspec
 
 from _jasminewind import settings
+from _jasminewind.experiment import exits
 from _jasminewind.experiment import layout as layouts
 from _jasminewind.standins import settings as standin_settings
 
@@ -38,6 +40,7 @@
         self.layout = layout
         self.folder = folder
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.exit_loggers: list[threading.Thread] = []
 
     def start(self) -> None:
         """Start the stand-ins, the entries and the agents."""
@@ -68,8 +71,12 @@
         self.spawn(daemon_settings.name, DAEMON_MODULE, path)
 
     def spawn(self, name: str, module: str, path: pathlib.Path) -> None:
-        """Start a process that appends its output to ``NAME.log``."""
-        with open(self.folder / f"{name}.log", "ab") as output:
+        """Start a process that appends its output to ``NAME.log``.
+
+        Its exit is logged there too.
+        """
+        log = self.folder / f"{name}.log"
+        with log.open("ab") as output:
             self.processes[name] = subprocess.Popen(
                 [sys.executable, "-m", module, str(path)],
                 stdout=output,
@@ -77,6 +84,9 @@
                 stdin=subprocess.DEVNULL,
                 env=environment(),
             )
+        self.exit_loggers.append(
+            exits.log_exit(self.processes[name], name=name, path=log)
+        )
 
     def settings_of(self, name: str) -> settings.Settings:
         """Return the settings of an entry or an agent."""
@@ -114,7 +124,10 @@
             process.kill()
         for process in self.processes.values():
             process.wait()
+        for logger in self.exit_loggers:
+            logger.join()
         self.processes.clear()
+        self.exit_loggers.clear()
 
     def agent_status(self, name: str) -> dict[str, typing.Any]:
         """Return the status of an agent from its local port."""
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -15,6 +15,7 @@
 
 from _jasminewind import resources
 from _jasminewind.decisions.jobs import registry
+from _jasminewind.experiment import exits
 from _jasminewind.experiment import ports
 from _jasminewind.platform import http
 from testing import reactor as reactors
@@ -138,8 +139,12 @@
         self.name = settings["name"]
         self.settings = folder / f"{self.name}.json"
         self.settings.write_text(json.dumps(settings))
-        self.log = (folder / f"{self.name}.log").open("ab")
+        self.log_path = folder / f"{self.name}.log"
+        self.log = self.log_path.open("ab")
         self.child = None
+        self.exit_logger = None
+        self.may_exit = False
+        self.unexpected_exits = []
         # An interrupted soak must leave no process behind.
         atexit.register(self.close)
 
@@ -154,20 +159,33 @@
             stdout=self.log,
             stderr=self.log,
         )
+        self.exit_logger = exits.log_exit(
+            self.child, name=self.name, path=self.log_path
+        )
+        self.may_exit = False
 
     def kill(self):
-        """Kill the process and wait until it has ended."""
+        """Kill the process and wait until its exit is logged."""
         self.send_signal(signal.SIGKILL)
-        if self.child is not None:
-            self.child.wait(END_LIMIT_S)
+        if self.exit_logger is not None:
+            self.exit_logger.join(END_LIMIT_S)
 
     def is_running(self):
         """Tell whether the process exists, running or paused."""
-        return self.child is not None and self.child.poll() is None
+        if self.child is None:
+            return False
+        status = self.child.poll()
+        if status is not None and not self.may_exit:
+            self.unexpected_exits.append(
+                f"{self.name} ended by itself: {exits.describe(status)}"
+            )
+            self.may_exit = True
+        return status is None
 
     def send_signal(self, number):
         """Send a signal to the process if it exists."""
         if self.is_running():
+            self.may_exit |= number in (signal.SIGKILL, signal.SIGTERM)
             self.child.send_signal(number)
 
     def close(self):
@@ -390,6 +408,16 @@
             reactor=self.reactor, host=HOST, port=port, connections=1
         )
 
+    def unexpected_exits(self):
+        """Return the exits of processes that no signal ended."""
+        for process in self.processes.values():
+            process.is_running()
+        return [
+            text
+            for process in self.processes.values()
+            for text in process.unexpected_exits
+        ]
+
     # Recovery
 
     def recover(self):
