Allow for a start that a later life of the endpoint has taken

Callers could see one task run twice at once after an endpoint had restarted under its identifier, with a start on its way and 0.5 s without an answer.

Cause: calls name the identifier of an endpoint and no time of birth. A later life takes the start, and its deadline, on a clock that was ahead, for a longer lease than was asked for: 1 s, to which endpoints shorten it. The agent counted 0.51 s.

Change: a reply whose clock is 0.5 s or more behind the last one is from a later life; an earlier reply cannot be that late, as calls time out before. The agent then uses the endpoint no longer and allows for a lease of 1 s. So it does when another incarnation replies while a start is unanswered. Left: a start that a later life takes and leaves unanswered, with no reply to any call for 0.51 s after it; that time is not extended for every lost start, because callers of a lost entry return after 1.3 s.

Two tests had endpoints whose clock went back by seconds between replies (test_paused_agent.py, test_endpoint_selection.py), which no single life of an endpoint does; their fakes now keep their clock.

--- a/src/_jasminewind/decisions/jobs/executor.py
+++ b/src/_jasminewind/decisions/jobs/executor.py
@@ -546,7 +546,10 @@
         self, reply: actions.CallReply, now: core.Instant
     ) -> None:
         """Update the clock of the endpoint, and raise a stale token."""
-        if reply.clock_ms:
+        if self.lease.has_restarted(reply.clock_ms):
+            self.lease.allow_for_later_life(now.mono_s)
+            self.expect_end("its clock has started anew", now)
+        elif reply.clock_ms:
             self.lease.observe_clock(reply.clock_ms, now.mono_s)
         if reply.outcome is actions.CallOutcome.FENCED and self.endpoint:
             wall_ms = self.endpoint.born_ms + reply.clock_ms
@@ -615,6 +618,17 @@
                 )
             )
 
+    def has_unanswered_start(self) -> bool:
+        """Tell whether a start may have reached a later life."""
+        return any(
+            run.state
+            in (
+                allocation.RunState.STARTING,
+                allocation.RunState.UNCONFIRMED,
+            )
+            for run in self.allocation.runs.values()
+        )
+
     def retry_stops(self, now: core.Instant) -> None:
         """Retry unanswered stops."""
         for run in self.allocation.runs.values():
@@ -687,6 +701,8 @@
             if not call.is_out_of_band:
                 self.next_renewal_s = now.mono_s + RENEWAL_RETRY_S
             self.expect_end("another incarnation replied", now)
+            if self.has_unanswered_start():
+                self.lease.allow_for_later_life(now.mono_s)
             return self.flush()
         if reply.outcome is not actions.CallOutcome.DONE:
             if not call.is_out_of_band:
--- a/src/_jasminewind/decisions/jobs/leases.py
+++ b/src/_jasminewind/decisions/jobs/leases.py
@@ -19,9 +19,14 @@
 # An agent stops the runs of an owner that has acknowledged none of the
 # heartbeats sent within this time. It allows for two lost ones, 0.2 s apart.
 OWNER_GRANT_S = 0.7
-# Lease that an agent requests for the runs of its endpoint. Endpoints cap a
-# lease at 1 s.
+# Lease that an agent requests for the runs of its endpoint.
 ENDPOINT_LEASE_S = 0.5
+# Endpoints shorten longer leases to this. A later life of an endpoint, whose
+# clock starts anew, takes every deadline of the earlier one for a longer one.
+LEASE_LIMIT_S = 1.0
+# A reply whose clock is this far behind the last one is from a later life.
+# Others arrive within the time-out of a call.
+MAX_CLOCK_LAG_MS = 500
 # Share by which the clock of an endpoint may be slower than that of the agent.
 CLOCK_DRIFT = 0.02
 # After this time every lease has expired that an agent renewed before.
@@ -38,12 +43,14 @@
     """The lease of an endpoint, as its agent knows it.
 
     Deadlines are on the clock of the endpoint, which is estimated from its
-    last reply.
+    last reply. ``later_life_s`` is until when a later life of the endpoint may
+    hold a lease that was meant for this one, by the clock of the agent.
     """
 
     clock_ms: int = 0
     clock_read_s: float = 0.0
     deadline_ms: int = 0
+    later_life_s: float = 0.0
 
     def observe_clock(self, clock_ms: int, now_s: float) -> None:
         """Record the clock of the endpoint from a reply that just arrived."""
@@ -51,6 +58,14 @@
             self.clock_ms = clock_ms
             self.clock_read_s = now_s
 
+    def has_restarted(self, clock_ms: int) -> bool:
+        """Tell whether a reply with this clock is from a later life."""
+        return 0 < clock_ms < self.clock_ms - MAX_CLOCK_LAG_MS
+
+    def allow_for_later_life(self, now_s: float) -> None:
+        """Allow for a run that a later life of the endpoint has started."""
+        self.later_life_s = now_s + LEASE_LIMIT_S * (1 + CLOCK_DRIFT)
+
     def estimated_clock_ms(self, now_s: float) -> int:
         """Return the estimated time on the clock of the endpoint."""
         return self.clock_ms + int((now_s - self.clock_read_s) * 1000)
@@ -71,4 +86,4 @@
         """Return how long the lease may still last, negative if expired."""
         left_ms = self.deadline_ms - self.clock_ms
         left_s = left_ms / 1000 * (1 + CLOCK_DRIFT)
-        return self.clock_read_s + left_s - now_s
+        return max(self.clock_read_s + left_s, self.later_life_s) - now_s
--- a/testing/decisions/jobs/test_endpoint_selection.py
+++ b/testing/decisions/jobs/test_endpoint_selection.py
@@ -61,6 +61,7 @@
         self.endpoints = {ADDRESS: RECORD}
         self.configured = frozenset({"orders", "bookings"})
         self.reads = 0
+        self.clock_ms = 0
         self.logged = []
 
     def now(self):
@@ -105,6 +106,7 @@
     def use(self, used):
         """Let an announcement take effect, and answer the first renewal."""
         before = self.executor.endpoint
+        self.clock_ms = used.clock_ms
         requested = self.executor.on_announcement(
             used.record,
             clock_ms=used.clock_ms,
@@ -121,7 +123,7 @@
     def reply_to_renewal(self, outcome):
         """Deliver the endpoint's reply to the pending renewal."""
         reply = actions.RenewReply(
-            outcome=outcome, sent_s=self.now_s, clock_ms=500
+            outcome=outcome, sent_s=self.now_s, clock_ms=self.clock_ms
         )
         requested = self.executor.on_renew_reply(
             self.renewal, reply, self.now()
--- a/testing/decisions/jobs/test_paused_agent.py
+++ b/testing/decisions/jobs/test_paused_agent.py
@@ -130,7 +130,8 @@
 def refuse_first_start(agent):
     """Let the endpoint refuse the first start, which makes room."""
     refused = actions.CallReply(
-        outcome=actions.CallOutcome.NO_ROOM, clock_ms=1
+        outcome=actions.CallOutcome.NO_ROOM,
+        clock_ms=int(agent.now_s * 1000),
     )
     return agent.executor.on_start_reply(FIRST, refused, agent.now())
 
