Let only the attached incarnation's replies count

Callers could see one task run twice at once around the replacement or the restart of an endpoint, or an endpoint that takes no more work.

Cause: replies were used whoever gave them, in whichever attachment.

Change: renewals carry the number of the attachment, and others are dropped. The clock is read from replies of known runs and of this incarnation only, and one that is ahead of the time that has passed is from a later life as well. Any other time of birth is another incarnation. A departure keeps the clock of the endpoint, in decisions/jobs/departures.py; only an announcement that was sent later and is not draining undoes it. A renewal with a deadline that a later life has answered extends the wait to its longest lease.

--- a/src/_jasminewind/decisions/jobs/actions.py
+++ b/src/_jasminewind/decisions/jobs/actions.py
@@ -43,11 +43,13 @@
     ``last_end`` acknowledges ends up to this number, which the endpoint then
     drops. It replies after ``wait_s`` at the latest. ``deadline_ms`` 0 reads
     without renewing. An out-of-band call reads while another one is pending.
+    ``attachment`` counts how often the agent has attached to an endpoint.
     """
 
     deadline_ms: int
     last_end: int
     wait_s: float
+    attachment: int = 0
     is_out_of_band: bool = False
 
 
--- a/src/_jasminewind/decisions/jobs/endpoint_selection.py
+++ b/src/_jasminewind/decisions/jobs/endpoint_selection.py
@@ -66,21 +66,6 @@
     logged_reason: str = ""
 
 
-@dataclasses.dataclass(frozen=True)
-class Departure:
-    """An incarnation that said, at a time on its clock, that it leaves."""
-
-    incarnation: runs.Incarnation
-    clock_ms: int
-
-    def is_before(self, announcement: Announcement) -> bool:
-        """Tell whether an announcement was sent after the departure.
-
-        The departure was then that of an earlier life under the same name.
-        """
-        return announcement.clock_ms > self.clock_ms
-
-
 class EndpointSelection(core.StateMachine):
     """Decides which announcements the executor gets to see.
 
@@ -96,7 +81,6 @@
         self.executor = run_executor
         # Sequence number of the last announcement that took effect.
         self.sequence = -1
-        self.departure: Departure | None = None
         self.services: frozenset[str] = frozenset()
         self.candidates: dict[runs.Incarnation, Candidate] = {}
         self.actions: core.Actions = []
@@ -127,20 +111,14 @@
         """Handle an announcement of the current or another incarnation."""
         record = announcement.record
         known = self.executor.endpoint
-        departure = self.departure
-        if departure is not None:
-            is_same = runs.incarnation(record) == departure.incarnation
-            if is_same and not departure.is_before(announcement):
-                return []
+        if self.executor.has_departed_since(record, announcement.clock_ms):
+            return []
         if self.is_current(record):
             if announcement.sequence <= self.sequence:
                 return []
             if known is not None and known.service == record.service:
                 self.use(announcement)
                 return self.flush()
-        elif known is not None and known.name == record.name:
-            if record.born_ms < known.born_ms:
-                return []
         self.add_candidate(announcement, now)
         return self.flush()
 
@@ -249,14 +227,8 @@
                 )
         return self.flush()
 
-    def on_endpoint_left(self, name: str, now: core.Instant) -> None:
+    def on_endpoint_left(self, name: str) -> None:
         """Forget the incarnations of an endpoint that is leaving."""
-        known = self.executor.endpoint
-        if known is not None and known.name == name:
-            self.departure = Departure(
-                runs.incarnation(known),
-                self.executor.lease.estimated_clock_ms(now.mono_s),
-            )
         for key in list(self.candidates):
             if key.name == name:
                 del self.candidates[key]
--- a/src/_jasminewind/decisions/jobs/executor.py
+++ b/src/_jasminewind/decisions/jobs/executor.py
@@ -10,6 +10,7 @@
 from _jasminewind.decisions import core
 from _jasminewind.decisions.jobs import actions
 from _jasminewind.decisions.jobs import allocation
+from _jasminewind.decisions.jobs import departures
 from _jasminewind.decisions.jobs import grants
 from _jasminewind.decisions.jobs import leases
 from _jasminewind.decisions.jobs import recent_ends
@@ -84,9 +85,12 @@
         self.is_reconciled = False
         self.is_reachable = False
         self.is_draining = False
-        # Why the endpoint is expected to end, empty if it is not. It takes no
-        # new runs, and its lease is not renewed.
-        self.departure = ""
+        # Set while the endpoint is expected to end: it takes no new runs, and
+        # its lease is not renewed.
+        self.departure: departures.Departure | None = None
+        self.last_departure: departures.Departure | None = None
+        # How often this agent has attached to an endpoint.
+        self.attachment = 0
         self.is_leaving = False
         self.is_renewing = False
         self.failed_renewals = 0
@@ -161,6 +165,8 @@
         Another incarnation takes the place of the known one once that is
         gone.
         """
+        if self.has_departed_since(record, clock_ms):
+            return []
         known = self.endpoint
         if known is None or self.incarnation() != runs.incarnation(record):
             if not self.is_endpoint_gone(now):
@@ -171,9 +177,10 @@
             self.allocation.capacity = record.capacity
             self.load_changed = True
         self.last_announcement_s = now.mono_s
-        if self.departure:
-            self.log("endpoint_stays", f"announced after: {self.departure}")
-            self.departure = ""
+        if self.departure is not None and not is_draining:
+            reason = self.departure.reason
+            self.log("endpoint_stays", f"it announced itself after: {reason}")
+            self.departure = None
             self.load_changed = True
         if is_draining != self.is_draining:
             self.is_draining = is_draining
@@ -231,7 +238,8 @@
         self.endpoint = record
         self.allocation.capacity = record.capacity
         self.is_draining = False
-        self.departure = ""
+        self.departure = None
+        self.attachment += 1
         self.lease = leases.EndpointLease()
         self.lease.observe_clock(clock_ms, now.mono_s)
         # Based on the wall time of the endpoint, so that it rises with each
@@ -261,9 +269,12 @@
         It may take any time for that. Its runs end when it lists their end,
         which a stop hastens, or when the lease expires.
         """
-        if self.departure:
+        known = self.incarnation()
+        if known is None or self.departure is not None:
             return
-        self.departure = reason
+        clock_ms = self.lease.estimated_clock_ms(now.mono_s)
+        self.departure = departures.Departure(known, clock_ms, reason)
+        self.last_departure = self.departure
         self.load_changed = True
         self.log("endpoint_leaving", reason)
         self.reject_queued(reason, now)
@@ -271,18 +282,29 @@
             self.stop_run(run, runs.RunOutcome.LAPSED, now)
         self.drop_departed(now)
 
+    def has_departed_since(
+        self, record: runs.EndpointRecord, clock_ms: int
+    ) -> bool:
+        """Tell whether an endpoint has left since it announced itself."""
+        last = self.last_departure
+        return (
+            last is not None
+            and last.incarnation == runs.incarnation(record)
+            and not last.is_before(clock_ms)
+        )
+
     def drop_departed(self, now: core.Instant) -> None:
         """Drop an endpoint that is expected to end, once it runs nothing."""
-        if not self.departure or self.allocation.runs:
+        if self.departure is None or self.allocation.runs:
             return
         if self.is_reconciled or self.is_endpoint_gone(now):
-            self.drop_endpoint(self.departure)
+            self.drop_endpoint(self.departure.reason)
 
     def drop_endpoint(self, reason: str) -> None:
         """Drop the endpoint until it announces itself again."""
         self.log("endpoint_gone", reason)
         self.endpoint = None
-        self.departure = ""
+        self.departure = None
         self.is_reconciled = False
         self.load_changed = True
 
@@ -517,9 +539,11 @@
         self, key: runs.RunKey, reply: actions.CallReply, now: core.Instant
     ) -> core.Actions:
         """Handle the reply of the endpoint to a start."""
-        self.observe_reply(reply, now)
         run = self.allocation.runs.get(key)
-        if run is None or run.state is not allocation.RunState.STARTING:
+        if run is None:
+            return self.flush()
+        self.observe_reply(reply, now)
+        if run.state is not allocation.RunState.STARTING:
             return self.flush()
         if reply.outcome is actions.CallOutcome.DONE:
             run.state = allocation.RunState.RUNNING
@@ -546,16 +570,19 @@
         self, reply: actions.CallReply, now: core.Instant
     ) -> None:
         """Update the clock of the endpoint, and raise a stale token."""
-        if self.lease.has_restarted(reply.clock_ms):
+        if reply.outcome is actions.CallOutcome.OTHER_ENDPOINT:
+            return
+        if self.lease.has_restarted(reply.clock_ms, now.mono_s):
             self.lease.allow_for_later_life(now.mono_s)
             self.expect_end("its clock has started anew", now)
         elif reply.clock_ms:
             self.lease.observe_clock(reply.clock_ms, now.mono_s)
         if reply.outcome is actions.CallOutcome.FENCED and self.endpoint:
             wall_ms = self.endpoint.born_ms + reply.clock_ms
-            self.fencing_token = max(
-                self.fencing_token + FENCING_TOKEN_STEP_MS, wall_ms
-            )
+            if wall_ms > self.fencing_token:
+                self.fencing_token = wall_ms
+            else:
+                self.fencing_token += FENCING_TOKEN_STEP_MS
             self.log("fence", f"fencing token raised to {self.fencing_token}")
 
     def stop_run(
@@ -596,9 +623,11 @@
         self, key: runs.RunKey, reply: actions.CallReply, now: core.Instant
     ) -> core.Actions:
         """Handle the reply of the endpoint to a stop."""
-        self.observe_reply(reply, now)
         run = self.allocation.runs.get(key)
-        if run is not None and reply.outcome is actions.CallOutcome.DONE:
+        if run is None:
+            return self.flush()
+        self.observe_reply(reply, now)
+        if reply.outcome is actions.CallOutcome.DONE:
             run.stop_answered_s = now.mono_s
             if run.state is allocation.RunState.UNCONFIRMED:
                 self.read_state()
@@ -615,6 +644,7 @@
                     last_end=self.last_end,
                     wait_s=0.0,
                     is_out_of_band=True,
+                    attachment=self.attachment,
                 )
             )
 
@@ -665,6 +695,7 @@
                 deadline_ms=deadline_ms,
                 last_end=self.last_end,
                 wait_s=wait_s,
+                attachment=self.attachment,
             )
         )
 
@@ -686,24 +717,28 @@
         now: core.Instant,
     ) -> core.Actions:
         """Handle the state of the endpoint, and renew again."""
-        known = self.endpoint
-        if known is None or known.name != call.endpoint.name:
-            return []
-        if known.born_ms != call.endpoint.born_ms:
+        if self.endpoint is None or call.attachment != self.attachment:
             return []
         if not call.is_out_of_band:
             self.is_renewing = False
-        self.observe_reply(
-            actions.CallReply(outcome=reply.outcome, clock_ms=reply.clock_ms),
-            now,
-        )
         if is_other_incarnation(call.endpoint, reply):
             if not call.is_out_of_band:
                 self.next_renewal_s = now.mono_s + RENEWAL_RETRY_S
             self.expect_end("another incarnation replied", now)
-            if self.has_unanswered_start():
+            was_accepted = reply.outcome is actions.CallOutcome.DONE
+            if was_accepted and (
+                call.deadline_ms or self.has_unanswered_start()
+            ):
                 self.lease.allow_for_later_life(now.mono_s)
             return self.flush()
+        is_fenced = reply.outcome is actions.CallOutcome.FENCED
+        if not is_fenced or call.fencing_token == self.fencing_token:
+            self.observe_reply(
+                actions.CallReply(
+                    outcome=reply.outcome, clock_ms=reply.clock_ms
+                ),
+                now,
+            )
         if reply.outcome is not actions.CallOutcome.DONE:
             if not call.is_out_of_band:
                 self.on_failed_renewal(reply, now)
@@ -958,7 +993,12 @@
 def is_other_incarnation(
     known: runs.EndpointRecord, reply: actions.RenewReply
 ) -> bool:
-    """Tell whether a later incarnation than the known one replied."""
+    """Tell whether another incarnation than the known one replied.
+
+    A later life may seem to be born earlier after its wall clock was set back.
+    """
     if reply.outcome is actions.CallOutcome.OTHER_ENDPOINT:
         return True
-    return bool(known.born_ms) and reply.born_ms > known.born_ms
+    return 0 not in (known.born_ms, reply.born_ms) and (
+        reply.born_ms != known.born_ms
+    )
--- a/src/_jasminewind/decisions/jobs/leases.py
+++ b/src/_jasminewind/decisions/jobs/leases.py
@@ -24,13 +24,19 @@
 # Endpoints shorten longer leases to this. A later life of an endpoint, whose
 # clock starts anew, takes every deadline of the earlier one for a longer one.
 LEASE_LIMIT_S = 1.0
-# A reply whose clock is this far behind the last one is from a later life.
-# Others arrive within the time-out of a call.
-MAX_CLOCK_LAG_MS = 500
+# A reply is from a later life if its clock is this far behind the last one or
+# ahead of the time that has passed since. Others arrive within the time-out of
+# a call.
+MAX_CLOCK_ERROR_MS = 500
 # Share by which the clock of an endpoint may be slower than that of the agent.
 CLOCK_DRIFT = 0.02
+# The clock of an endpoint was read at most this long before its lease is
+# renewed, as an agent that gets no replies stops renewing it.
+CLOCK_AGE_S = 1.0
 # After this time every lease has expired that an agent renewed before.
-MAX_LEASE_S = ENDPOINT_LEASE_S * (1 + CLOCK_DRIFT)
+MAX_LEASE_S = (ENDPOINT_LEASE_S + CLOCK_DRIFT * CLOCK_AGE_S) / (
+    1 - CLOCK_DRIFT
+)
 # Allows for a stop to take effect and for messages in flight.
 STOP_MARGIN_S = 0.3
 # After this time without a heartbeat all runs on an agent have ended: the
@@ -58,13 +64,16 @@
             self.clock_ms = clock_ms
             self.clock_read_s = now_s
 
-    def has_restarted(self, clock_ms: int) -> bool:
+    def has_restarted(self, clock_ms: int, now_s: float) -> bool:
         """Tell whether a reply with this clock is from a later life."""
-        return 0 < clock_ms < self.clock_ms - MAX_CLOCK_LAG_MS
+        if not clock_ms or not self.clock_ms:
+            return False
+        latest_ms = self.estimated_clock_ms(now_s) + MAX_CLOCK_ERROR_MS
+        return not self.clock_ms - MAX_CLOCK_ERROR_MS <= clock_ms <= latest_ms
 
     def allow_for_later_life(self, now_s: float) -> None:
         """Allow for a run that a later life of the endpoint has started."""
-        self.later_life_s = now_s + LEASE_LIMIT_S * (1 + CLOCK_DRIFT)
+        self.later_life_s = now_s + LEASE_LIMIT_S / (1 - CLOCK_DRIFT)
 
     def estimated_clock_ms(self, now_s: float) -> int:
         """Return the estimated time on the clock of the endpoint."""
@@ -85,5 +94,5 @@
     def remaining_s(self, now_s: float) -> float:
         """Return how long the lease may still last, negative if expired."""
         left_ms = self.deadline_ms - self.clock_ms
-        left_s = left_ms / 1000 * (1 + CLOCK_DRIFT)
+        left_s = left_ms / 1000 / (1 - CLOCK_DRIFT)
         return max(self.clock_read_s + left_s, self.later_life_s) - now_s
--- a/src/_jasminewind/nodes/job_agent.py
+++ b/src/_jasminewind/nodes/job_agent.py
@@ -189,7 +189,7 @@
             self.endpoint = None
             self.on_endpoint(None)
         now = self.timers.now()
-        self.selection.on_endpoint_left(name, now)
+        self.selection.on_endpoint_left(name)
         self.perform(self.executor, self.executor.on_endpoint_left(name, now))
 
     # Shutdown
--- a/testing/decisions/jobs/test_endpoint_selection.py
+++ b/testing/decisions/jobs/test_endpoint_selection.py
@@ -75,7 +75,7 @@
 
     def leave(self, name=RECORD.name):
         """Deliver the notice of an endpoint that it leaves."""
-        self.selection.on_endpoint_left(name, self.now())
+        self.selection.on_endpoint_left(name)
         self.perform(self.executor.on_endpoint_left(name, self.now()))
 
     def tick(self, after_s=0.05):
--- a/testing/decisions/jobs/test_fleet.py
+++ b/testing/decisions/jobs/test_fleet.py
@@ -514,6 +514,7 @@
         deadline_ms=0,
         last_end=0,
         wait_s=0.0,
+        attachment=executor.attachment,
     )
     lost = actions.RenewReply(
         outcome=actions.CallOutcome.LOST, sent_s=cluster.now_s
