Report the state of a run whose order arrives twice

Callers could see two runs of a task at once if a batch of orders arrived twice: the agent refused the second copy as already known, the entry took that for a run that was never started, sent no stop, and started it elsewhere. For a run that was done the agent reported that it had not started. No sender of ours sends a batch twice at present.

Change: an order of the same owner for a run in progress is ignored; one for a run that has ended gets its recorded end.

Evidence: three cases of test_run_ends.py failed before.

--- a/src/_jasminewind/decisions/jobs/executor.py
+++ b/src/_jasminewind/decisions/jobs/executor.py
@@ -395,6 +395,8 @@
             self.grants.renew(sender, message.grant, now.mono_s)
         is_other = message.endpoint not in (None, self.incarnation())
         for order in message.orders:
+            if self.is_repeated(sender, order.key, now):
+                continue
             reason = self.refusal(order, age_s)
             if is_other:
                 reason = "the order is for another life of the endpoint"
@@ -414,10 +416,18 @@
             return "the endpoint takes no new work"
         if age_s > leases.OWNER_GRANT_S:
             return f"the grant of {age_s:.2f} s ago has expired"
-        if order.key in self.recent_ends:
-            return "the run has already ended"
         return self.allocation.refusal(order)
 
+    def is_repeated(
+        self, owner: members.NodeId, key: runs.RunKey, now: core.Instant
+    ) -> bool:
+        """Tell whether an order is a repetition, and report its run's end."""
+        run = self.allocation.runs.get(key)
+        if run is None and key in self.recent_ends:
+            self.report_absent(owner, key, now)
+            return True
+        return run is not None and run.owner == owner
+
     def refuse_run(
         self,
         owner: members.NodeId,
--- a/testing/decisions/jobs/test_run_ends.py
+++ b/testing/decisions/jobs/test_run_ends.py
@@ -144,6 +144,54 @@
     assert renewal.deadline_ms <= 1_001 + 1_000 * leases.ENDPOINT_LEASE_S
 
 
+# Reports that a run was not started
+
+
+def test_a_doubled_order_does_not_deny_a_run_in_progress(busy):
+    """Guards against "not started" for a run that goes on."""
+    message = runs.StartRuns(
+        batch=1,
+        grant=busy.grant,
+        orders=(test_paused_agent.order(FIRST, 9.0),),
+    )
+    found = busy.executor.on_message(ENTRY, message, busy.now())
+    assert FIRST in busy.executor.allocation.runs
+    assert FIRST not in reported(found)
+
+
+@pytest.mark.parametrize("is_doubled", [False, True])
+def test_doubled_orders_start_no_second_run(is_doubled):
+    """Guards against two runs of a task after a doubled order."""
+    simulated = cluster.SimulatedCluster(entries=1, agents=3)
+    simulated.run(2.5)
+    send = simulated.HANDLERS[core.Send]
+
+    def send_twice(rig, process, action):
+        send(rig, process, action)
+        if is_doubled and isinstance(action.message, runs.StartRuns):
+            rig.at(0.05, lambda: send(rig, process, action))
+
+    simulated.HANDLERS = {**simulated.HANDLERS, core.Send: send_twice}
+    simulated.submit("entry-0", cluster.job(1, count=2, work_s=1.0))
+    simulated.run(4.0)
+    assert simulated.violations() == []
+
+
+def test_a_doubled_order_does_not_deny_a_run_that_is_done(busy):
+    """Guards against "not started" for a run that has ended."""
+    listed = actions.ListedEnd(
+        number=1, key=FIRST, outcome=runs.RunOutcome.DONE
+    )
+    busy.renewed(ended=(listed,))
+    message = runs.StartRuns(
+        batch=1,
+        grant=busy.grant,
+        orders=(test_paused_agent.order(FIRST, 9.0),),
+    )
+    found = busy.executor.on_message(ENTRY, message, busy.now())
+    assert reported(found)[FIRST] is runs.RunOutcome.DONE
+
+
 # Processes of one agent
 
 
