Model the delivery of messages between entries and agents

Change: spec/delivery.py, for two entries, two agents and one job that is stopped, submitted again and cancelled. Messages are lost, doubled and overtaken; processes of both kinds are replaced. Agents and entries that are still alike are not told apart. A lossy form asks whether everything recovers once faults have ended: states from which only the system's own steps lead on, so that no caller helps.

--- a/spec/check.py
+++ b/spec/check.py
@@ -61,14 +61,28 @@
     return search(stopped)
 
 
-def reachable_labels(model: minicheck.Protocol) -> frozenset[str]:
-    """Return the labels of all steps of a model."""
-    labels = set()
+def search_trap(model: minicheck.Protocol) -> SearchResult:
+    """Search for a state from which no goal state can be reached."""
+    report = minicheck.check_liveness(model)
+    trace = report.get("counterexample")
+    labels = () if trace is None else tuple(s["label"] for s in trace[1:])
+    return SearchResult(
+        name=model.name,
+        states=report.get("reachable_states", 0),
+        exhaustive=report["holds"] is not None,
+        steps=None if trace is None else len(labels),
+        labels=labels,
+    )
+
+
+def recorded(
+    model: minicheck.Protocol, labels: set[str]
+) -> minicheck.Protocol:
+    """Return the model, whose searches add the labels of all steps."""
 
     def transitions(values: tuple) -> list:
         steps = model.transitions(values)
         labels.update(label for label, _ in steps)
         return steps
 
-    search(dataclasses.replace(model, transitions=transitions))
-    return frozenset(labels)
+    return dataclasses.replace(model, transitions=transitions)
--- a/testing/spec/test_models.py
+++ b/testing/spec/test_models.py
@@ -3,6 +3,7 @@
 import pytest
 
 from spec import check
+from spec import delivery
 from spec import departures
 from spec import grants
 from spec import ownership
@@ -10,7 +11,7 @@
 
 CASES = [
     (model, mutation)
-    for model in (ownership, starts, grants, departures)
+    for model in (ownership, starts, grants, departures, delivery)
     for mutation in model.MUTATIONS
 ]
 
@@ -45,16 +46,13 @@
     """Guards against a run that is given up while its endpoint executes it.
 
     The endpoint may leave, fall silent or be replaced, and so may the agent.
+    The model must have each reason to place a task again.
     """
-    result = check.search(departures.build())
+    labels = set()
+    result = check.search(check.recorded(departures.build(), labels))
     assert result.exhaustive
     assert result.steps is None
-
-
-def test_departures_reach_every_reason_to_place_a_task_again():
-    """Guards against a model that holds because nothing happens in it."""
-    found = check.reachable_labels(departures.build())
-    assert found >= {
+    assert labels >= {
         "the endpoint lists the end",
         "the endpoint does not list the run",
         "the lease has certainly expired",
@@ -69,3 +67,50 @@
     """Guards against rules that only a contrived sequence needs."""
     result = check.find_counterexample(departures.build(mutation))
     assert 0 < (result.steps or 0) <= 12
+
+
+def test_delivery_holds():
+    """Guards against a lost, doubled or late message that breaks a rule.
+
+    The model must have each of the messages.
+    """
+    labels = set()
+    result = check.search(check.recorded(delivery.build(), labels))
+    assert result.exhaustive
+    assert result.steps is None
+    assert labels >= {
+        "run 1 of entry 0: start arrives",
+        "run 1 of entry 0: stop arrives",
+        "run 1 of entry 0: report arrives",
+        "run 1 of entry 0: ack arrives",
+        "run 1 of entry 0: heartbeat is acknowledged",
+        "run 1 of entry 0: overdue, is queried",
+        "run 1 of entry 0: the new process accepts work",
+        "run 2 of entry 0: start arrives",
+        "run 1 of entry 1: start arrives",
+        "run 1 of entry 1: report arrives",
+        "the caller returns to entry 1, which refuses",
+        "the confirmation arrives",
+    }
+
+
+@pytest.mark.parametrize("name", delivery.LOSSY_STATES)
+def test_delivery_recovers(name):
+    """Guards against a lost message that has an effect for good.
+
+    Each entry can order runs from each agent again, knows the end of its run,
+    and the cancellation is confirmed.
+    """
+    result = check.search_trap(delivery.build_lossy(name))
+    assert result.exhaustive
+    assert result.steps is None
+
+
+@pytest.mark.parametrize(
+    ("mutation", "name"), delivery.LIVENESS_MUTATIONS.items()
+)
+def test_removed_repetition_leaves_a_trap(mutation, name):
+    """Guards against a model that recovers without one of its rules."""
+    result = check.search_trap(delivery.build_lossy(name, mutation))
+    assert result.exhaustive
+    assert result.steps is not None
