--- a/testing/decisions/jobs/test_paused_agent.py
+++ b/testing/decisions/jobs/test_paused_agent.py
@@ -58,6 +58,7 @@
     def __init__(self):
         self.now_s = 10.0
         self.executor = executor.RunExecutor(agent="agent-0")
+        self.executor.on_registered(is_first=True)
         self.executor.set_entries(
             tuple(
                 registry.EntryAddress(node.name, members.Address(node.name, 1))
@@ -129,7 +130,8 @@
 def refuse_first_start(agent):
     """Let the endpoint refuse the first start, which makes room."""
     refused = actions.CallReply(
-        outcome=actions.CallOutcome.NO_ROOM, clock_ms=1
+        outcome=actions.CallOutcome.NO_ROOM,
+        clock_ms=int(agent.now_s * 1000),
     )
     return agent.executor.on_start_reply(FIRST, refused, agent.now())
 
