Pass over an odd row of an endpoint alone

Cause: one row of running or ended work that could not be read (wrong type, missing field, huge number, a text that is not JSON) made the whole reply to a renewal count as lost. After three of them the agent took its endpoint for unreachable, for as long as the row was listed.

Change: each row is decoded alone (platform/run_rows.py). A running row whose run is unreadable makes the list incomplete, so that no run counts as absent and a starting agent takes no work. A running row with an odd checkpoint or progress keeps its run, which then never counts as stalled. A run whose end has an unknown word has ended, as lapsed. An end whose number, task or run is unreadable, or whose number is out of order, is never the last acknowledged: only a later end that was read acknowledges it, after the list of running work in the same reply has shown that its run is gone. While the last end is unreadable, the endpoint answers at once, and renewals are paced at 0.05 s. Checkpoints are limited, as 500 ends have to fit into one message. Each odd row is logged and counted once (input.unusable).

Ruled out: to hold all acknowledgements back until the row can be read. The list of 500 ends would fill up, and the endpoint would be stuck. To guess the number of an end: it would acknowledge ends that are still to come.

Limit: while a running row is unreadable, a run that was never confirmed is not given up, and a new agent process does not take work.

--- a/src/_jasminewind/json_input.py
+++ b/src/_jasminewind/json_input.py
@@ -1,5 +1,6 @@
 """Decoding of JSON text that another process wrote."""
 
+import re
 import typing
 
 import msgspec
@@ -13,6 +14,10 @@
 
 T = typing.TypeVar("T")
 
+# A string, or a bracket or comma outside of strings.
+TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{},]', re.DOTALL)
+MAX_CHECKED_BYTES = 1 << 20
+
 
 def decode(
     text: bytes | str, kind: type[T]
@@ -22,3 +27,33 @@
         return result.Ok(msgspec.json.decode(text, type=kind))
     except MALFORMED as error:
         return result.Err(errors.WireError(reason=f"malformed: {error}"))
+
+
+def replace_malformed(text: bytes, level: int) -> bytes:
+    """Return JSON text with ``null`` for each malformed item of its lists.
+
+    Only the lists at one level of nesting are looked at; the outermost value
+    has level 1. One malformed item makes a decoder refuse the whole text.
+    """
+    if len(text) > MAX_CHECKED_BYTES:
+        return text
+    parts = []
+    depth = 0
+    kept_from = 0
+    item_from: int | None = None
+    for token in TOKEN.finditer(text):
+        start, end = token.span()
+        kind = token[0]
+        if kind in b"]}," and depth == level and item_from is not None:
+            item = text[item_from:start]
+            if item.strip() and decode(item, typing.Any).is_err():
+                parts += [text[kept_from:item_from], b"null"]
+                kept_from = start
+            item_from = end if kind == b"," else None
+        if kind in b"[{":
+            depth += 1
+            if depth == level:
+                item_from = end if kind == b"[" else None
+        elif kind in b"]}":
+            depth -= 1
+    return b"".join([*parts, text[kept_from:]])
--- a/src/_jasminewind/metrics.py
+++ b/src/_jasminewind/metrics.py
@@ -195,6 +195,11 @@
 UNUSABLE_ROWS = counter(
     "rows.unusable", "{row}", "Rows of the table that register no process."
 )
+UNUSABLE_INPUT = counter(
+    "input.unusable",
+    "{entry}",
+    "Entries of other writers that were passed over, by source.",
+)
 STARTS_UNANSWERED = counter(
     "starts.unanswered", "{call}", "Starts that the endpoint did not answer."
 )
--- a/src/_jasminewind/platform/bodies.py
+++ b/src/_jasminewind/platform/bodies.py
@@ -34,6 +34,8 @@
 MAX_MILLISECONDS = 10**13
 MAX_AMOUNT = 10**12
 MAX_COUNT = 10**9
+# 500 ends with their checkpoints fit into one message to an entry.
+MAX_CHECKPOINT_CHARS = 1_000
 Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
 Labels = typing.Annotated[
     tuple[Name, ...], msgspec.Meta(max_length=MAX_LABELS)
@@ -42,6 +44,10 @@
 Duration = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
 Amount = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Percent = typing.Annotated[float, msgspec.Meta(ge=0, le=100)]
+Checkpoint = typing.Annotated[
+    str, msgspec.Meta(max_length=MAX_CHECKPOINT_CHARS)
+]
 decode = json_input.decode
 
 
@@ -302,19 +308,44 @@
 class AnswerBody(Body):
     """Response to a start or a stop."""
 
-    clock_ms: int = 0
+    clock_ms: Milliseconds = 0
     reason: str = ""
 
 
 class StateBody(Body):
-    """Response to a renewal; its rows are decoded by position."""
+    """Response to a renewal; each row is decoded alone."""
+
+    clock_ms: Milliseconds
+    running: tuple[msgspec.Raw, ...] = ()
+    ended: tuple[msgspec.Raw, ...] = ()
+    born: Milliseconds = 0
+
+
+class Row(msgspec.Struct, array_like=True):
+    """Base of rows, whose fields are decoded by position."""
+
+
+class RunningRow(Row):
+    """Running work; only its name and number are certain to be readable."""
+
+    task: Name
+    run: Count
+    checkpoint: msgspec.Raw = msgspec.Raw()
+    percent: msgspec.Raw = msgspec.Raw()
 
-    clock_ms: int
-    running: tuple[tuple[typing.Any, ...], ...] = ()
-    ended: tuple[tuple[typing.Any, ...], ...] = ()
-    born: int = 0
 
+class EndedRow(Row):
+    """Ended work; only its first three fields are certain to be readable."""
 
+    number: Count
+    task: Name
+    run: Count
+    how: msgspec.Raw = msgspec.Raw()
+    checkpoint: msgspec.Raw = msgspec.Raw()
+
+
+# Level of the lists in the response, which is an object.
+ROWS_LEVEL = 2
 # The endpoint lists at most this many ended runs in one response.
 MAX_LISTED_ENDS = 500
 RUN_OUTCOMES = {
@@ -334,27 +365,6 @@
 }
 
 
-def parse_running_run(row: tuple[typing.Any, ...]) -> actions.RunningRun:
-    """Parse a row of running work: task, run, checkpoint, percent."""
-    task, number, checkpoint, percent = row[:4]
-    return actions.RunningRun(
-        key=runs.RunKey(str(task), int(number)),
-        checkpoint=str(checkpoint),
-        percent=int(percent),
-    )
-
-
-def parse_ended_run(row: tuple[typing.Any, ...]) -> actions.ListedEnd:
-    """Parse a row of ended work: number, task, run, how, checkpoint."""
-    number, task, run, how, checkpoint = row[:5]
-    return actions.ListedEnd(
-        number=int(number),
-        key=runs.RunKey(str(task), int(run)),
-        outcome=RUN_OUTCOMES.get(str(how), runs.RunOutcome.LAPSED),
-        checkpoint=str(checkpoint),
-    )
-
-
 # The store
 
 
--- a/src/_jasminewind/platform/daemon.py
+++ b/src/_jasminewind/platform/daemon.py
@@ -24,6 +24,7 @@
 from _jasminewind.decisions.jobs import registry
 from _jasminewind.platform import bodies
 from _jasminewind.platform import http_server
+from _jasminewind.platform import odd_input
 from _jasminewind.platform import rows
 from _jasminewind.platform import status_pages
 
@@ -96,6 +97,7 @@
         ]
         self.known_endpoint: registry.KnownEndpoint | None = None
         self.meter = prometheus_metrics.PrometheusMeter()
+        self.odd_input = odd_input.OddInput(self.meter)
         self.ports: list[typing.Any] = []
         self.sites: list[tuple[str, typing.Any]] = []
         self.shutdown_started_s = 0.0
@@ -162,6 +164,7 @@
                 reactor=self.reactor,
                 timer_service=self.timers,
                 address=address,
+                odd=self.odd_input,
             ),
             on_endpoint=self.on_endpoint_changed,
             read_services=self.read_services,
--- a/src/_jasminewind/platform/machine.py
+++ b/src/_jasminewind/platform/machine.py
@@ -5,6 +5,7 @@
 import msgspec
 import result
 from twisted.internet import defer
+from twisted.internet import task
 
 from _jasminewind import members
 from _jasminewind import timers
@@ -13,6 +14,8 @@
 from _jasminewind.platform import bodies
 from _jasminewind.platform import exchanges
 from _jasminewind.platform import http
+from _jasminewind.platform import odd_input
+from _jasminewind.platform import run_rows
 
 # A local call takes about 1 ms, and some 8 ms on a machine that runs 5.5
 # times slower. A start that times out is followed by a stop, early enough
@@ -20,6 +23,9 @@
 CALL_TIMEOUT_S = 0.08
 # Added to the time for which the endpoint may delay the reply.
 RENEW_TIMEOUT_S = 0.06
+# The endpoint answers at once while it lists an end that is not acknowledged.
+HELD_END_DELAY_S = 0.05
+MAX_REASON_CHARS = 200
 # The starts of one job are sent at once; idle connections are kept.
 MAX_CONNECTIONS = 16
 
@@ -33,8 +39,12 @@
         reactor: typing.Any,
         timer_service: timers.TimerService,
         address: members.Address,
+        odd: odd_input.OddInput,
     ) -> None:
+        self.reactor = reactor
         self.timers = timer_service
+        self.odd = odd
+        self.holds_end = False
         self.http_client = http.JsonClient(
             reactor=reactor,
             host=address.host,
@@ -72,6 +82,8 @@
 
     async def renew(self, action: actions.CallRenew) -> actions.RenewReply:
         """Renew the lease and return running and ended work."""
+        if self.holds_end and action.wait_s:
+            await task.deferLater(self.reactor, HELD_END_DELAY_S)
         sent_s = self.timers.clock.seconds()
         body = bodies.RenewBody(
             fencing_token=action.fencing_token,
@@ -85,7 +97,11 @@
             action,
             action.wait_s + RENEW_TIMEOUT_S,
         )
-        return renew_reply(response, sent_s)
+        state = renew_reply(response, sent_s)
+        self.holds_end = state.holds_end
+        for row in state.odd:
+            self.odd.report(row.source, row.name, row.reason)
+        return state.reply
 
     def call(
         self,
@@ -147,35 +163,19 @@
     return actions.CallReply(
         outcome=call_outcome(http_response.status, fields.reason),
         clock_ms=fields.clock_ms,
-        reason=f"status {http_response.status} {fields.reason}".strip(),
+        reason=f"status {http_response.status} "
+        f"{fields.reason[:MAX_REASON_CHARS]}".strip(),
     )
 
 
 def renew_reply(
     response: result.Result[exchanges.Response, http.CallError], sent_s: float
-) -> actions.RenewReply:
+) -> run_rows.ReadState:
     """Translate the response to a renewal."""
     reply = call_reply(response)
     if reply.outcome is not actions.CallOutcome.DONE:
-        return actions.RenewReply(
+        failed = actions.RenewReply(
             outcome=reply.outcome, sent_s=sent_s, clock_ms=reply.clock_ms
         )
-    body = bodies.decode(response.unwrap().body, bodies.StateBody)
-    lost = actions.RenewReply(outcome=actions.CallOutcome.LOST, sent_s=sent_s)
-    if body.is_err():
-        return lost
-    state = body.unwrap()
-    try:
-        running = tuple(bodies.parse_running_run(row) for row in state.running)
-        ended = tuple(bodies.parse_ended_run(row) for row in state.ended)
-    except (ValueError, TypeError):
-        return lost
-    return actions.RenewReply(
-        outcome=actions.CallOutcome.DONE,
-        sent_s=sent_s,
-        clock_ms=state.clock_ms,
-        running=running,
-        ended=ended,
-        complete=len(ended) < bodies.MAX_LISTED_ENDS,
-        born_ms=state.born,
-    )
+        return run_rows.ReadState(failed)
+    return run_rows.read(response.unwrap().body, sent_s)
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -107,6 +107,10 @@
         "Above 0: another writer left a row that registers no process. Find "
         "its key in the log and remove it."
     ),
+    "input.unusable": (
+        "Above 0: another writer left an entry that cannot be read. Find its "
+        "name in the log, and correct its writer."
+    ),
     "starts.unanswered": "Rises with `renewals.lost`: see there.",
     "reactor.lag": "p99 above 0.05 s: the process lacks CPU time.",
 }
