Pass over an odd row of a page of the store alone

Cause: a page was decoded as a whole. One row of another type, or a text in it that is not JSON, made the page unreadable; the watcher asked again for the same page every 0.3 s and took no note of any later change. A value that is no base64 was skipped, without a counter, and a registration of the previous process with one was read again without an end. A list that claims to have more rows and does not go on was read again without a pause.

Change: each row is decoded alone; an odd one is logged and counted once (input.unusable, source table) and the last known value of its key stays. Version numbers are bounded, as the next call names them. A list that does not go on counts as a failed read.

--- a/src/_jasminewind/platform/bodies.py
+++ b/src/_jasminewind/platform/bodies.py
@@ -7,7 +7,9 @@
 import typing
 
 import msgspec
+import result
 
+from _jasminewind import errors
 from _jasminewind import json_input
 from _jasminewind import resources
 from _jasminewind.decisions.jobs import actions
@@ -44,11 +46,28 @@
 Duration = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
 Amount = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Version = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 Percent = typing.Annotated[float, msgspec.Meta(ge=0, le=100)]
 Checkpoint = typing.Annotated[
     str, msgspec.Meta(max_length=MAX_CHECKPOINT_CHARS)
 ]
 decode = json_input.decode
+# Level of the lists of rows in a body, which is an object.
+ROWS_LEVEL = 2
+T = typing.TypeVar("T")
+
+
+def decode_with_rows(
+    text: bytes, kind: type[T]
+) -> result.Result[T, errors.WireError]:
+    """Decode a body with lists of undecoded rows.
+
+    A row that is no JSON does not make the others unreadable; it is ``null``.
+    """
+    decoded = decode(text, kind)
+    if decoded.is_ok():
+        return decoded
+    return decode(json_input.replace_malformed(text, ROWS_LEVEL), kind)
 
 
 class Body(msgspec.Struct, rename="kebab", kw_only=True):
@@ -344,8 +363,6 @@
     checkpoint: msgspec.Raw = msgspec.Raw()
 
 
-# Level of the lists in the response, which is an object.
-ROWS_LEVEL = 2
 # The endpoint lists at most this many ended runs in one response.
 MAX_LISTED_ENDS = 500
 RUN_OUTCOMES = {
@@ -371,21 +388,24 @@
 class RowBody(Body):
     """A row; ``value`` is base64."""
 
-    table: str = ""
-    part: str = ""
-    key: str = ""
+    table: Name = ""
+    part: Name = ""
+    key: Name = ""
     value: str = ""
-    version_number: int = 0
+    version_number: Version = 0
     # Set in a change feed when the row was deleted.
     deleted: bool = False
 
 
 class RowsBody(Body):
-    """Rows, and the newest version of the whole store."""
+    """Rows, and the newest version of the whole store.
+
+    Each row is decoded alone as a :class:`RowBody`.
+    """
 
-    rows: tuple[RowBody, ...] = ()
+    rows: tuple[msgspec.Raw, ...] = ()
     has_more: bool = False
-    version_number: int = 0
+    version_number: Version = 0
 
 
 class PutBody(Body):
@@ -416,7 +436,7 @@
 class WrittenBody(Body):
     """Response to a committed transaction."""
 
-    version_number: int = 0
+    version_number: Version = 0
 
 
 class StateAnswer(OutgoingBody):
--- a/src/_jasminewind/platform/daemon.py
+++ b/src/_jasminewind/platform/daemon.py
@@ -74,10 +74,15 @@
             failure_domain=settings.failure_domain,
             rack="",
         )
+        self.meter = prometheus_metrics.PrometheusMeter()
+        self.odd_input = odd_input.OddInput(self.meter)
         store = job_settings.address(settings.store)
         assert store is not None
         self.store = rows.RowStore(
-            reactor=reactor, host=store.host, port=store.port
+            reactor=reactor,
+            host=store.host,
+            port=store.port,
+            odd=self.odd_input,
         )
         is_entry = settings.role is members.Role.ENTRY
         self.registration = rows.RowWriter(
@@ -96,8 +101,6 @@
             )
         ]
         self.known_endpoint: registry.KnownEndpoint | None = None
-        self.meter = prometheus_metrics.PrometheusMeter()
-        self.odd_input = odd_input.OddInput(self.meter)
         self.ports: list[typing.Any] = []
         self.sites: list[tuple[str, typing.Any]] = []
         self.shutdown_started_s = 0.0
--- a/src/_jasminewind/platform/rows.py
+++ b/src/_jasminewind/platform/rows.py
@@ -15,6 +15,7 @@
 from _jasminewind.platform import bodies
 from _jasminewind.platform import exchanges
 from _jasminewind.platform import http
+from _jasminewind.platform import odd_input
 
 # The store responds in 4 ms, and in about 0.4 s when it is slow.
 CALL_TIMEOUT_S = 1.0
@@ -44,10 +45,17 @@
     version: int
 
 
+class Row(typing.NamedTuple):
+    """A row, or the deletion of one if ``value`` is ``None``."""
+
+    key: str
+    value: bytes | None
+
+
 class Page(typing.NamedTuple):
     """Rows of one response, and the version to continue from."""
 
-    rows: tuple[bodies.RowBody, ...]
+    rows: tuple[Row, ...]
     version: int
     has_more: bool
 
@@ -55,7 +63,15 @@
 class RowStore:
     """Client of the row store; it never retries a call."""
 
-    def __init__(self, *, reactor: typing.Any, host: str, port: int) -> None:
+    def __init__(
+        self,
+        *,
+        reactor: typing.Any,
+        host: str,
+        port: int,
+        odd: odd_input.OddInput | None = None,
+    ) -> None:
+        self.odd = odd or odd_input.OddInput()
         self.http_client = http.JsonClient(
             reactor=reactor, host=host, port=port, connections=MAX_CONNECTIONS
         )
@@ -86,9 +102,7 @@
             return result.Err(page.unwrap_err())
         for row in page.unwrap().rows:
             if row.key == key:
-                return row_value(row).map_err(
-                    lambda e: StoreError(0, e.reason)
-                )
+                return result.Ok(row.value)
         return result.Ok(None)
 
     async def feed(
@@ -113,7 +127,21 @@
             b"GET", path, timeout_s=timeout_s
         )
         body = decode_body(response, bodies.RowsBody)
-        return body.map(lambda b: Page(b.rows, b.version_number, b.has_more))
+        return body.map(self.decode_page)
+
+    def decode_page(self, body: bodies.RowsBody) -> Page:
+        """Return the rows of a page; one that cannot be read is left out."""
+        found = []
+        for text in body.rows:
+            row = bodies.decode(bytes(text), bodies.RowBody).and_then(
+                decode_row
+            )
+            if row.is_ok():
+                found.append(row.unwrap())
+            else:
+                name = repr(bytes(text)[:MAX_LOGGED_CHARS])
+                self.odd.report("table", name, row.unwrap_err().reason)
+        return Page(tuple(found), body.version_number, body.has_more)
 
     async def put(
         self, table: str, key: str, value: bytes, version: int
@@ -150,7 +178,7 @@
     if reply.status != 200:
         text = reply.body[:200].decode(errors="replace")
         return result.Err(StoreError(reply.status, text))
-    return bodies.decode(reply.body, kind).map_err(
+    return bodies.decode_with_rows(reply.body, kind).map_err(
         lambda e: StoreError(reply.status, e.reason)
     )
 
@@ -164,20 +192,26 @@
         return result.Err(
             StoreError(response.status, body.unwrap_err().reason)
         )
+    found = [
+        bodies.decode(bytes(text), bodies.RowBody)
+        for text in body.unwrap().rows
+    ]
     versions = [
         row.version_number
-        for row in body.unwrap().rows
+        for row in (each.unwrap() for each in found if each.is_ok())
         if (row.table, row.key) == (table, key)
     ]
     return result.Err(OtherVersion(max(versions, default=0)))
 
 
-def row_value(
-    row: bodies.RowBody,
-) -> result.Result[bytes, errors.WireError]:
-    """Return the decoded value of a row."""
+def decode_row(row: bodies.RowBody) -> result.Result[Row, errors.WireError]:
+    """Return the row with its decoded value."""
+    if row.deleted:
+        return result.Ok(Row(row.key, None))
     try:
-        return result.Ok(base64.b64decode(row.value, validate=True))
+        return result.Ok(
+            Row(row.key, base64.b64decode(row.value, validate=True))
+        )
     except ValueError as e:
         return result.Err(errors.WireError(reason=f"row {row.key}: {e}"))
 
@@ -342,9 +376,14 @@
             version = version or page.version
             for row in page.rows:
                 self.apply_row(rows, row)
-                after_key = row.key
-            if not page.has_more or not page.rows:
+            if not page.has_more:
                 break
+            last_key = max((row.key for row in page.rows), default="")
+            if last_key <= after_key:
+                return self.on_failure(
+                    StoreError(0, f"no readable row after {after_key!r}")
+                )
+            after_key = last_key
         self.rows = rows
         self.version = version
         self.has_snapshot = True
@@ -375,16 +414,12 @@
             self.on_rows(dict(self.rows))
         return 0.0
 
-    def apply_row(self, rows: Rows, row: bodies.RowBody) -> None:
+    def apply_row(self, rows: Rows, row: Row) -> None:
         """Store or delete one changed row."""
-        if row.deleted:
+        if row.value is None:
             rows.pop(row.key, None)
-            return
-        value = row_value(row)
-        if value.is_err():
-            self.log.warning("unreadable row", reason=value.unwrap_err())
-            return
-        rows[row.key] = value.unwrap()
+        else:
+            rows[row.key] = row.value
 
     def on_failure(self, error: StoreError) -> float:
         """Log the first of several failures; return the retry delay."""
--- a/src/_jasminewind/platform/run_rows.py
+++ b/src/_jasminewind/platform/run_rows.py
@@ -9,7 +9,6 @@
 import msgspec
 import result
 
-from _jasminewind import json_input
 from _jasminewind.decisions.jobs import actions
 from _jasminewind.decisions.jobs import progress
 from _jasminewind.messages import runs
@@ -43,10 +42,7 @@
 
 def read(body: bytes, sent_s: float) -> ReadState:
     """Translate the body of a successful response."""
-    decoded = bodies.decode(body, bodies.StateBody)
-    if decoded.is_err():
-        text = json_input.replace_malformed(body, bodies.ROWS_LEVEL)
-        decoded = bodies.decode(text, bodies.StateBody)
+    decoded = bodies.decode_with_rows(body, bodies.StateBody)
     if decoded.is_err():
         lost = actions.RenewReply(
             outcome=actions.CallOutcome.LOST, sent_s=sent_s
