Count the entries that may still confirm a cancellation

Cause: each confirmation that a caller waited for looked at every other entry, so that one cancellation cost the square of their number.

Change: the entries that have not confirmed are counted for each job (AwaitedJobs). An entry leaves the count when it confirms, when its cancellation expires, when its row is removed, and with the first tick after it has been silent for 10 s; until that tick, at most 0.1 s later than before, a caller still waits for it.

--- a/src/_jasminewind/decisions/jobs/cancellation.py
+++ b/src/_jasminewind/decisions/jobs/cancellation.py
@@ -1,5 +1,6 @@
 """Cancellation of a job at whichever entry owns it or will receive it."""
 
+import collections
 import collections.abc
 import dataclasses
 import typing
@@ -35,6 +36,30 @@
     sent_s: float
 
 
+class AwaitedJobs:
+    """How many entries may still confirm the cancellation of each job.
+
+    Looking at every entry for each confirmation would cost the square of
+    their number for one cancellation.
+    """
+
+    def __init__(self) -> None:
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def __contains__(self, job: str) -> bool:
+        return job in self.counts
+
+    def add(self, job: str) -> None:
+        """Count one more entry."""
+        self.counts[job] += 1
+
+    def remove(self, job: str) -> None:
+        """Count one entry less."""
+        self.counts[job] -= 1
+        if not self.counts[job]:
+            del self.counts[job]
+
+
 @dataclasses.dataclass
 class Peer:
     """Another entry, and the cancellations that it has not confirmed.
@@ -42,12 +67,15 @@
     ``unconfirmed`` is ordered by the time of the last message. Messages were
     lost if ``has_lost`` is set. ``silent_since_s`` is when the first message
     was sent that the entry has not confirmed, infinite if there is none.
+    ``awaited`` counts the entry for each of them unless it is gone.
     """
 
     entry: registry.EntryAddress
+    awaited: AwaitedJobs
     unconfirmed: dict[str, Unconfirmed] = dataclasses.field(
         default_factory=dict
     )
+    counts_as_gone: bool = False
     has_lost: bool = False
     silent_since_s: float = float("inf")
     resend_s: float = RESEND_S
@@ -57,17 +85,37 @@
         """Tell whether the entry has confirmed nothing for long."""
         return now_s - self.silent_since_s > GONE_AFTER_S
 
+    def add(self, job: str, unconfirmed: Unconfirmed) -> None:
+        """Add a cancellation as the last one."""
+        self.drop(job)
+        self.unconfirmed[job] = unconfirmed
+        if not self.counts_as_gone:
+            self.awaited.add(job)
+
+    def drop(self, job: str) -> None:
+        """Drop a cancellation, if it is there."""
+        dropped = self.unconfirmed.pop(job, None)
+        if dropped is not None and not self.counts_as_gone:
+            self.awaited.remove(job)
+
+    def set_gone(self, is_gone: bool) -> None:
+        """Set whether callers still wait for the entry."""
+        if is_gone == self.counts_as_gone:
+            return
+        self.counts_as_gone = is_gone
+        count = self.awaited.remove if is_gone else self.awaited.add
+        for job in self.unconfirmed:
+            count(job)
+
     def record_sent(self, job: str, cancelled_s: float, now_s: float) -> None:
         """Record that the entry is told of a cancellation now."""
         self.silent_since_s = min(self.silent_since_s, now_s)
-        self.unconfirmed.pop(job, None)
-        self.unconfirmed[job] = Unconfirmed(
-            cancelled_s=cancelled_s, sent_s=now_s
-        )
+        self.add(job, Unconfirmed(cancelled_s=cancelled_s, sent_s=now_s))
 
     def record_confirmation(self, job: str, now_s: float) -> None:
         """Record that the entry has confirmed a cancellation."""
-        self.unconfirmed.pop(job, None)
+        self.set_gone(False)
+        self.drop(job)
         self.resend_s = RESEND_S
         self.next_resend_s = now_s + RESEND_S
         self.silent_since_s = now_s if self.unconfirmed else float("inf")
@@ -77,7 +125,7 @@
         for job, unconfirmed in list(self.unconfirmed.items()):
             if now_s - unconfirmed.cancelled_s < RETENTION_S:
                 return job
-            del self.unconfirmed[job]
+            self.drop(job)
         self.silent_since_s = float("inf")
         return None
 
@@ -103,6 +151,7 @@
     def __init__(self, *, jobs: owner.JobOwner) -> None:
         self.jobs = jobs
         self.peers: dict[str, Peer] = {}
+        self.awaited = AwaitedJobs()
         self.has_entries = False
         # The jobs cancelled at this entry, and when.
         self.recent: dict[str, float] = {}
@@ -127,16 +176,12 @@
         self.has_entries = True
         found = {entry.name: entry for entry in entries}
         for name in [name for name in self.peers if name not in found]:
-            del self.peers[name]
+            self.peers.pop(name).set_gone(True)
         for name, entry in found.items():
             if name not in self.peers:
-                self.peers[name] = Peer(
-                    entry,
-                    unconfirmed={
-                        job: Unconfirmed(cancelled_s=at_s, sent_s=0.0)
-                        for job, at_s in self.recent.items()
-                    },
-                )
+                peer = self.peers[name] = Peer(entry, self.awaited)
+                for job, at_s in self.recent.items():
+                    peer.add(job, Unconfirmed(cancelled_s=at_s, sent_s=0.0))
             self.peers[name].entry = entry
 
     # Requests
@@ -156,7 +201,7 @@
         pending.tickets.append(ticket)
         if job in self.cancelled_here:
             requested += self.reply(job, actions.CancelOutcome.CANCELLED)
-        return ticket, requested + self.reply_unless_awaited(job, now)
+        return ticket, requested + self.reply_unless_awaited(job)
 
     def cancel_here(
         self, job: str, reason: str, now: core.Instant
@@ -219,7 +264,7 @@
             requested += self.reply(
                 message.job, actions.CancelOutcome.CANCELLED
             )
-        return requested + self.reply_unless_awaited(message.job, now)
+        return requested + self.reply_unless_awaited(message.job)
 
     # Replies to callers
 
@@ -233,20 +278,15 @@
             for ticket in pending.tickets
         ]
 
-    def reply_unless_awaited(
-        self, job: str, now: core.Instant
-    ) -> core.Actions:
+    def reply_unless_awaited(self, job: str) -> core.Actions:
         """Reply that no entry knows a job once all others have confirmed."""
-        if job not in self.pending or self.is_awaited(job, now):
+        if job not in self.pending or self.is_awaited(job):
             return []
         return self.reply(job, actions.CancelOutcome.UNKNOWN)
 
-    def is_awaited(self, job: str, now: core.Instant) -> bool:
+    def is_awaited(self, job: str) -> bool:
         """Tell whether an entry may still confirm a cancellation."""
-        return not self.has_entries or any(
-            job in peer.unconfirmed and not peer.is_gone(now.mono_s)
-            for peer in self.peers.values()
-        )
+        return not self.has_entries or job in self.awaited
 
     def is_idle(self, now: core.Instant) -> bool:
         """Tell whether nobody waits for a reply or a cancellation."""
@@ -260,6 +300,7 @@
         requested: core.Actions = []
         for peer in self.peers.values():
             job = peer.oldest(now.mono_s)
+            peer.set_gone(peer.is_gone(now.mono_s))
             if job is None:
                 continue
             due_s = max(
--- a/testing/decisions/jobs/test_cancellation.py
+++ b/testing/decisions/jobs/test_cancellation.py
@@ -1,6 +1,8 @@
 """Tests of cancellations between entries."""
 
+import collections
 import random
+import sys
 
 import pytest
 
@@ -10,6 +12,7 @@
 from _jasminewind.decisions.jobs import cancellation
 from _jasminewind.decisions.jobs import owner
 from _jasminewind.decisions.jobs import registry
+from _jasminewind.messages import runs
 from testing.decisions.jobs import cluster as clusters
 
 CANCELLED = actions.CancelOutcome.CANCELLED
@@ -238,3 +241,76 @@
     tickets = [entries.cancel("entry-1") for _ in range(3)]
     entries.run(1.0)
     assert [entries.replies[ticket] for ticket in tickets] == [PENDING] * 3
+
+
+def count_calls(function):
+    """Return how many functions are called, and generators resumed."""
+    counts = collections.Counter()
+    sys.setprofile(lambda frame, event, argument: counts.update([event]))
+    try:
+        function()
+    finally:
+        sys.setprofile(None)
+    return counts["call"] + counts["c_call"]
+
+
+def confirmation_costs(count):
+    """Return the calls for each confirmation among ``count`` entries."""
+    entries = Entries(count)
+    name = "entry-0"
+    entries.unreachable = set(entries.machines) - {name}
+    _, ticket = entries.cancel(name)
+    machine = entries.machines[name]
+    costs = []
+    for number in range(1, count):
+        assert (name, ticket) not in entries.replies
+        sender = members.NodeId(f"entry-{number}", 1)
+        confirmation = runs.JobCancelled(job=SPEC.job, known=False)
+        costs.append(
+            count_calls(
+                lambda: entries.perform(
+                    name,
+                    machine.on_message(sender, confirmation, entries.now()),
+                )
+            )
+        )
+    assert entries.replies[name, ticket] is UNKNOWN
+    assert not machine.awaited.counts
+    return costs
+
+
+def test_a_confirmation_costs_the_same_with_more_entries():
+    """Guards against cancellations that cost the square of the entries."""
+    few = confirmation_costs(35)
+    many = confirmation_costs(1_000)
+    assert max(many) <= max(few)
+    assert sum(many) / len(many) <= max(few)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_the_awaited_entries_are_counted_exactly(seed):
+    """Guards against callers that wait for nobody, or not for all."""
+    rng = random.Random(seed)
+    entries = Entries(4)
+    machine = entries.machines["entry-0"]
+    jobs = [f"{number:016x}" for number in range(3)]
+    for _ in range(300):
+        entries.unreachable = {
+            name for name in entries.machines if rng.random() < 0.4
+        } - {"entry-0"}
+        choice = rng.random()
+        if choice < 0.3:
+            entries.cancel("entry-0", rng.choice(jobs))
+        elif choice < 0.4:
+            names = [n for n in entries.machines if rng.random() < 0.7]
+            entries.register(names)
+        else:
+            entries.now_s += rng.choice([0.1, 0.5, 4.0, 11.0])
+            entries.perform("entry-0", machine.on_tick(entries.now()))
+        expected = collections.Counter(
+            job
+            for peer in machine.peers.values()
+            if not peer.counts_as_gone
+            for job in peer.unconfirmed
+        )
+        assert machine.awaited.counts == expected
