Bound what an agent restores and reports of its endpoint

Cause: an entry divides by the slowness that an agent reports. The average was not bounded: with estimates that are far too high it is rounded to 0, and every capacity of the service then failed with a ZeroDivisionError, for all agents. An agent whose average had reached 0 never left it, as samples are clamped to a factor of it. A restored registration was checked for its addresses only.

Change: the average stays between 0.001 and 1,000; the capacity of a service guards against other values; a registration whose endpoint has values out of range (start time, capacity, slowness, length and number of names) is not used.

--- a/src/_jasminewind/decisions/jobs/agent_directory.py
+++ b/src/_jasminewind/decisions/jobs/agent_directory.py
@@ -4,6 +4,7 @@
 
 from _jasminewind import members
 from _jasminewind.decisions.jobs import agents
+from _jasminewind.decisions.jobs import speed
 from _jasminewind.messages import runs
 
 
@@ -99,10 +100,11 @@
             if endpoint is None or not agent.load.accepting:
                 continue
             before = capacities.get(endpoint.service, NO_CAPACITY)
-            cores = endpoint.capacity.cores / agent.load.slowness
+            slowness = max(agent.load.slowness, speed.MIN_SLOWNESS)
+            cores = endpoint.capacity.cores / slowness
             capacities[endpoint.service] = ServiceCapacity(
                 cores=before.cores + cores,
-                share=before.share + cores / agent.load.owners,
+                share=before.share + cores / max(agent.load.owners, 1),
             )
         return capacities
 
--- a/src/_jasminewind/decisions/jobs/registry.py
+++ b/src/_jasminewind/decisions/jobs/registry.py
@@ -9,6 +9,8 @@
 from _jasminewind import errors
 from _jasminewind import json_input
 from _jasminewind import members
+from _jasminewind import resources
+from _jasminewind.decisions.jobs import speed
 from _jasminewind.messages import runs
 
 # Each entry has one row in this table, keyed by its name.
@@ -19,6 +21,10 @@
 AGENT_TABLE = "agents"
 # Latest Unix time of a start that is believed: the year 2286.
 MAX_TIME_MS = 10**13
+# Limits on what is restored of an endpoint.
+MAX_NAME_CHARS = 200
+MAX_LABELS = 100
+MAX_AMOUNT = 10**12
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -99,9 +105,27 @@
     if not 0 <= registration.started_ms <= MAX_TIME_MS:
         return "started_ms is out of range"
     endpoint = registration.endpoint
-    if endpoint is not None and not members.is_valid_address(endpoint.address):
+    return "" if endpoint is None else find_endpoint_mistake(endpoint)
+
+
+def find_endpoint_mistake(endpoint: KnownEndpoint) -> str:
+    """Return which value cannot be used, empty if all can."""
+    record = endpoint.record
+    if not members.is_valid_address(endpoint.address):
         return f"no endpoint can listen at {endpoint.address}"
-    return ""
+    if not speed.MIN_SLOWNESS <= endpoint.slowness <= speed.MAX_SLOWNESS:
+        return "slowness is out of range"
+    if not 0 <= record.born_ms <= MAX_TIME_MS:
+        return "born_ms is out of range"
+    amounts = (getattr(record.capacity, each) for each in resources.FIELDS)
+    if not all(0 <= amount <= MAX_AMOUNT for amount in amounts):
+        return "capacity is out of range"
+    names = (record.name, record.service, record.failure_domain)
+    if any(len(each) > MAX_NAME_CHARS for each in (*names, *record.labels)):
+        return "a name is too long"
+    if len(record.labels) > MAX_LABELS:
+        return "there are too many labels"
+    return "" if record.name else "the endpoint has no name"
 
 
 class EntryRegistry:
--- a/src/_jasminewind/decisions/jobs/speed.py
+++ b/src/_jasminewind/decisions/jobs/speed.py
@@ -10,6 +10,9 @@
 MAX_SAMPLE_RATIO = 4.0
 # Runs with smaller estimates do not count in the average.
 MIN_ESTIMATE_S = 0.005
+# Entries divide by the average, which is sent with three decimals.
+MIN_SLOWNESS = 0.001
+MAX_SLOWNESS = 1_000.0
 
 
 class SpeedEstimate:
@@ -28,7 +31,8 @@
         sample = min(max(run_s / estimate_s, low), high)
         self.samples += 1
         weight = max(MIN_SAMPLE_WEIGHT, 1.0 / (self.samples + 1))
-        self.slowness += weight * (sample - self.slowness)
+        slowness = self.slowness + weight * (sample - self.slowness)
+        self.slowness = min(max(slowness, MIN_SLOWNESS), MAX_SLOWNESS)
 
     def restore(self, slowness: float) -> None:
         """Restore the average that an earlier process measured."""
