Do not let a surplus response answer the next call

Cause: a response that came in one piece with the beginning of another one left the connection among the idle ones. The rest of the surplus response, when it arrived, answered the next call on it. An aborted connection also stayed among the idle ones until the next turn of the reactor.

Change: the exchange ends after all data at hand was read, and the connection is kept only if the response was all of it. An abandoned connection leaves the pool at once.

--- a/src/_jasminewind/platform/exchanges.py
+++ b/src/_jasminewind/platform/exchanges.py
@@ -75,6 +75,8 @@
         self.parts: list[bytes] = []
         self.size = 0
         self.has_length = False
+        self.finished: Response | None = None
+        self.may_keep = False
         self.idle_since_s = 0.0
         self.closed: defer.Deferred[None] = defer.Deferred()
 
@@ -87,6 +89,7 @@
     def abandon(self) -> None:
         """Abort the connection without ending the exchange."""
         self.exchange = None
+        self.pool.forget(self)
         typing.cast(typing.Any, self.transport).abortConnection()
 
     def fail(self, reason: str) -> None:
@@ -109,12 +112,30 @@
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
-            self.fail(f"malformed response: {error}")
+            self.may_keep = False
+            if self.finished is None:
+                self.fail(f"malformed response: {error}")
+        if self.finished is not None:
+            self.finish(self.finished)
+
+    def finish(self, response: Response) -> None:
+        """End the exchange, and keep the connection if it may be used."""
+        exchange, self.exchange = self.exchange, None
+        self.finished = None
+        if self.may_keep:
+            self.pool.keep(self)
+        else:
+            typing.cast(typing.Any, self.transport).loseConnection()
+        if exchange is not None:
+            exchange.response.callback(response)
 
     # The parser defines these names.
 
     def on_message_begin(self) -> None:
-        """Begin a response."""
+        """Begin a response; one more than was asked for is not used."""
+        if self.finished is not None:
+            self.may_keep = False
+            return
         self.parts.clear()
         self.size = 0
         self.has_length = False
@@ -135,19 +156,15 @@
         self.parts.append(data)
 
     def on_message_complete(self) -> None:
-        """End the exchange, and keep the connection if the server does."""
+        """Note the response, which is delivered after all of the data."""
         status = self.parser.get_status_code()
-        exchange = self.exchange
-        if exchange is None or status < FIRST_FINAL_STATUS:
+        if self.exchange is None or self.finished is not None:
             return
-        self.exchange = None
-        if self.parser.should_keep_alive():
-            self.pool.keep(self)
-        else:
-            typing.cast(typing.Any, self.transport).loseConnection()
-        body = b"".join(self.parts)
+        if status < FIRST_FINAL_STATUS:
+            return
+        self.may_keep = self.parser.should_keep_alive()
+        self.finished = Response(status=status, body=b"".join(self.parts))
         self.parts.clear()
-        exchange.response.callback(Response(status=status, body=body))
 
     # twisted defines the name.
     def connectionLost(  # noqa: N802
