Pass over odd parts of a configuration, heartbeats and texts alone

Cause: one route that could not be read made an entry keep its earlier configuration, or none; a stretch of 1e300 gave tasks an infinite time, which cannot be sent to an agent. Names of services were lost in the same way, so that an agent used endpoints of any service. Odd heartbeats were logged each time and not counted. A list with one item that is no JSON (nested deeply, invalid UTF-8, NaN) was searched item by item for too long.

Change: each route and the limits are decoded alone and bounded; what is odd is logged and counted once (source configuration), the rest is in force. Odd heartbeats are counted (source heartbeat). The search for malformed items takes a run of brackets in one step and is limited to 1 MiB.

--- a/src/_jasminewind/json_input.py
+++ b/src/_jasminewind/json_input.py
@@ -14,8 +14,8 @@
 
 T = typing.TypeVar("T")
 
-# A string, or a bracket or comma outside of strings.
-TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{},]', re.DOTALL)
+# A string, or brackets of one kind or a comma outside of strings.
+TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[{]+|[\]}]+|,', re.DOTALL)
 MAX_CHECKED_BYTES = 1 << 20
 
 
@@ -43,17 +43,25 @@
     item_from: int | None = None
     for token in TOKEN.finditer(text):
         start, end = token.span()
-        kind = token[0]
-        if kind in b"]}," and depth == level and item_from is not None:
-            item = text[item_from:start]
+        kind = text[start : start + 1]
+        if kind in b"[{":
+            # The bracket that opens the value at the level.
+            opening = start + level - depth - 1
+            depth += end - start
+            if start <= opening < end:
+                is_list = text[opening : opening + 1] == b"["
+                item_from = opening + 1 if is_list else None
+            continue
+        if kind == b'"':
+            continue
+        # The comma or bracket that ends an item at the level.
+        item_end = start + depth - level
+        if item_from is not None and start <= item_end < end:
+            item = text[item_from:item_end]
             if item.strip() and decode(item, typing.Any).is_err():
                 parts += [text[kept_from:item_from], b"null"]
-                kept_from = start
-            item_from = end if kind == b"," else None
-        if kind in b"[{":
-            depth += 1
-            if depth == level:
-                item_from = end if kind == b"[" else None
-        elif kind in b"]}":
-            depth -= 1
+                kept_from = item_end
+            item_from = item_end + 1 if kind == b"," else None
+        if kind in b"]}":
+            depth -= end - start
     return b"".join([*parts, text[kept_from:]])
--- a/src/_jasminewind/platform/bodies.py
+++ b/src/_jasminewind/platform/bodies.py
@@ -32,6 +32,7 @@
 # Limits on values of other writers. What is beyond them is a mistake, and
 # some of it could not be encoded again.
 MAX_NAME_CHARS = 200
+MAX_TEXT_CHARS = 10_000
 MAX_LABELS = 100
 MAX_MILLISECONDS = 10**13
 MAX_AMOUNT = 10**12
@@ -39,6 +40,8 @@
 # 500 ends with their checkpoints fit into one message to an entry.
 MAX_CHECKPOINT_CHARS = 1_000
 Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+Text = typing.Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARS)]
+Factor = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
 Labels = typing.Annotated[
     tuple[Name, ...], msgspec.Meta(max_length=MAX_LABELS)
 ]
@@ -47,6 +50,7 @@
 Amount = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 Version = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+Number = typing.Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
 Percent = typing.Annotated[float, msgspec.Meta(ge=0, le=100)]
 Checkpoint = typing.Annotated[
     str, msgspec.Meta(max_length=MAX_CHECKPOINT_CHARS)
@@ -181,16 +185,16 @@
 class RouteBody(Body):
     """A queue of the configuration, which the platform calls a route."""
 
-    name: str
-    host: str
-    prefix: str
-    service: str
-    timeout_ms: float = 0
+    name: Text
+    host: Text
+    prefix: Text
+    service: Text
+    timeout_ms: Duration = 0
     # Added to the stretched run time of the job; not the whole target.
-    target_completion_ms: float = 0
-    priority: int = 0
-    attempt_limit: int = 1
-    stretch: float = 1.0
+    target_completion_ms: Duration = 0
+    priority: Number = 0
+    attempt_limit: Number = 1
+    stretch: Factor = 1.0
 
     def to_queue(self) -> specs.Queue:
         """Convert to the internal type."""
@@ -210,55 +214,93 @@
 class LimitsBody(Body):
     """Limits on requests of callers."""
 
-    header_bytes: int = 16_384
-    body_bytes: int = 262_144
-    header_timeout_ms: float = 3_000
-    idle_timeout_ms: float = 15_000
+    header_bytes: Count = 16_384
+    body_bytes: Count = 262_144
+    header_timeout_ms: Duration = 3_000
+    idle_timeout_ms: Duration = 15_000
 
-
-class ConfigBody(Body):
-    """The configuration that operators write."""
-
-    version: int
-    routes: tuple[RouteBody, ...]
-    limits: LimitsBody = msgspec.field(default_factory=LimitsBody)
-
-    def to_configuration(self) -> specs.JobConfiguration:
+    def to_limits(self) -> specs.JobLimits:
         """Convert to the internal type."""
-        return specs.JobConfiguration(
-            version=self.version,
-            queues=tuple(route.to_queue() for route in self.routes),
-            limits=specs.JobLimits(
-                header_bytes=self.limits.header_bytes,
-                body_bytes=self.limits.body_bytes,
-                header_timeout_s=self.limits.header_timeout_ms / 1000,
-                idle_timeout_s=self.limits.idle_timeout_ms / 1000,
-            ),
+        return specs.JobLimits(
+            header_bytes=self.header_bytes,
+            body_bytes=self.body_bytes,
+            header_timeout_s=self.header_timeout_ms / 1000,
+            idle_timeout_s=self.idle_timeout_ms / 1000,
         )
 
 
+class ConfigBody(Body):
+    """The configuration that operators write; its parts are undecoded."""
+
+    version: Version
+    routes: tuple[msgspec.Raw, ...]
+    limits: msgspec.Raw = msgspec.Raw(b"{}")
+
+
+class ReadConfiguration(typing.NamedTuple):
+    """A configuration without the parts that cannot be read, and why."""
+
+    configuration: specs.JobConfiguration
+    mistakes: tuple[str, ...]
+
+
+def read_configuration(
+    value: bytes,
+) -> result.Result[ReadConfiguration, errors.WireError]:
+    """Read the configuration; each odd part is passed over alone."""
+    return decode_with_rows(value, ConfigBody).map(convert_configuration)
+
+
+def convert_configuration(body: ConfigBody) -> ReadConfiguration:
+    """Convert what can be read of a configuration."""
+    queues = []
+    mistakes = []
+    for number, text in enumerate(body.routes):
+        route = decode(bytes(text), RouteBody)
+        if route.is_ok():
+            queues.append(route.unwrap().to_queue())
+        else:
+            mistakes.append(f"routes[{number}]: {route.unwrap_err().reason}")
+    limits = decode(bytes(body.limits), LimitsBody)
+    if limits.is_err():
+        mistakes.append(f"limits: {limits.unwrap_err().reason}")
+    return ReadConfiguration(
+        specs.JobConfiguration(
+            version=body.version,
+            queues=tuple(queues),
+            limits=limits.unwrap_or(LimitsBody()).to_limits(),
+        ),
+        tuple(mistakes),
+    )
+
+
 class RouteServiceBody(Body):
     """The service that runs the tasks of a queue."""
 
-    service: str = ""
+    service: Text = ""
 
 
 class ServiceBody(Body):
     """A service of the configuration."""
 
-    name: str = ""
+    name: Text = ""
 
 
 class ServicesBody(Body):
     """The part of the configuration that names services."""
 
-    routes: tuple[RouteServiceBody, ...] = ()
-    services: tuple[ServiceBody, ...] = ()
+    routes: tuple[msgspec.Raw, ...] = ()
+    services: tuple[msgspec.Raw, ...] = ()
 
     def names(self) -> frozenset[str]:
-        """Return the names of all services."""
-        used = {route.service for route in self.routes}
-        return frozenset(used | {service.name for service in self.services})
+        """Return the names of all services that can be read."""
+        routes = (
+            decode(bytes(each), RouteServiceBody) for each in self.routes
+        )
+        services = (decode(bytes(each), ServiceBody) for each in self.services)
+        used = {each.unwrap().service for each in routes if each.is_ok()}
+        named = {each.unwrap().name for each in services if each.is_ok()}
+        return frozenset(used | named)
 
 
 # Endpoints
--- a/src/_jasminewind/platform/control.py
+++ b/src/_jasminewind/platform/control.py
@@ -1,22 +1,21 @@
 """HTTP port of an agent for heartbeats of its endpoint."""
 
-import structlog
-
 from _jasminewind import job_settings
+from _jasminewind import odd_input
 from _jasminewind.decisions.jobs import endpoint_selection
 from _jasminewind.nodes import job_agent
 from _jasminewind.platform import bodies
 from _jasminewind.platform import http_server
 
-MAX_LOGGED_CHARS = 100
-
 
 class Control(http_server.Handler):
     """Handles heartbeats and leave notices of the endpoint."""
 
-    def __init__(self, agent: job_agent.JobAgent) -> None:
+    def __init__(
+        self, agent: job_agent.JobAgent, odd: odd_input.OddInput
+    ) -> None:
         self.agent = agent
-        self.log = structlog.get_logger("control")
+        self.odd = odd
 
     def handle(self, request: http_server.Request) -> None:
         """Handle one call of the endpoint."""
@@ -48,20 +47,14 @@
             return 400
         body = bodies.decode(request.body, bodies.HeartbeatBody)
         if body.is_err():
-            self.log.warning(
-                "unreadable heartbeat",
-                endpoint=name,
-                reason=body.unwrap_err().reason,
-            )
+            reason = body.unwrap_err().reason
+            self.odd.report("heartbeat", name, reason)
             return 400
         heartbeat = body.unwrap()
         address = job_settings.address(heartbeat.address)
         if address is None:
-            self.log.warning(
-                "heartbeat without a usable address",
-                endpoint=name,
-                address=heartbeat.address[:MAX_LOGGED_CHARS],
-            )
+            reason = f"no endpoint can listen at {heartbeat.address!r}"
+            self.odd.report("heartbeat", name, reason)
             return 400
         self.agent.on_announcement(
             endpoint_selection.Announcement(
--- a/src/_jasminewind/platform/daemon.py
+++ b/src/_jasminewind/platform/daemon.py
@@ -24,7 +24,7 @@
 from _jasminewind.decisions.jobs import registry
 from _jasminewind.platform import bodies
 from _jasminewind.platform import http_server
-from _jasminewind.platform import odd_input
+from _jasminewind import odd_input
 from _jasminewind.platform import rows
 from _jasminewind.platform import status_pages
 
@@ -173,7 +173,10 @@
             read_services=self.read_services,
         )
         self.sites = [
-            (self.settings.control, http_server.Site(control.Control(agent)))
+            (
+                self.settings.control,
+                http_server.Site(control.Control(agent, self.odd_input)),
+            )
         ]
         return agent
 
@@ -207,14 +210,19 @@
         value = table_rows.get(bodies.CONFIGURATION_KEY)
         if value is None:
             return
-        body = bodies.decode(value, bodies.ConfigBody)
-        if body.is_err():
-            self.log.error(
-                "unreadable configuration; the last one stays in force",
-                reason=body.unwrap_err().reason,
+        read = bodies.read_configuration(value)
+        if read.is_err():
+            self.odd_input.report(
+                "configuration",
+                "the last one stays in force",
+                read.unwrap_err().reason,
             )
             return
-        self.node.set_configuration(body.unwrap().to_configuration())
+        configuration, mistakes = read.unwrap()
+        for mistake in mistakes:
+            name = f"version {configuration.version}"
+            self.odd_input.report("configuration", name, mistake)
+        self.node.set_configuration(configuration)
 
     async def read_services(self) -> frozenset[str] | None:
         """Return the configured services, ``None`` if not readable.
@@ -226,7 +234,9 @@
             bodies.CONFIGURATION_TABLE, bodies.CONFIGURATION_KEY
         )
         body = row.and_then(
-            lambda value: bodies.decode(value or b"", bodies.ServicesBody)
+            lambda value: bodies.decode_with_rows(
+                value or b"", bodies.ServicesBody
+            )
         )
         if body.is_err():
             self.log.warning(
--- a/src/_jasminewind/platform/machine.py
+++ b/src/_jasminewind/platform/machine.py
@@ -14,7 +14,7 @@
 from _jasminewind.platform import bodies
 from _jasminewind.platform import exchanges
 from _jasminewind.platform import http
-from _jasminewind.platform import odd_input
+from _jasminewind import odd_input
 from _jasminewind.platform import run_rows
 
 # A local call takes about 1 ms, and some 8 ms on a machine that runs 5.5
--- a/src/_jasminewind/platform/rows.py
+++ b/src/_jasminewind/platform/rows.py
@@ -15,7 +15,7 @@
 from _jasminewind.platform import bodies
 from _jasminewind.platform import exchanges
 from _jasminewind.platform import http
-from _jasminewind.platform import odd_input
+from _jasminewind import odd_input
 
 # The store responds in 4 ms, and in about 0.4 s when it is slow.
 CALL_TIMEOUT_S = 1.0
--- a/testing/platform/test_odd_pages.py
+++ b/testing/platform/test_odd_pages.py
@@ -13,7 +13,7 @@
 from _jasminewind import timers
 from _jasminewind.platform import exchanges
 from _jasminewind.platform import http
-from _jasminewind.platform import odd_input
+from _jasminewind import odd_input
 from _jasminewind.platform import rows
 from testing.platform import odd_values
 from testing.platform import test_odd_rows_of_endpoints as meters
