Pass over a message that a process cannot read

Cause: one message of an unknown type, or with a field of another type, closed the link and lost all other messages on it. Its sender repeats it, so that the link was closed again and again.

A frame that cannot be read still closes the link, and so does an odd message between processes of the product's own interface, whose coordinators learn of lost starts by the loss of the link. A peer that sends another Hello is disconnected: messages would have gone to the closed connection later.

--- a/src/_jasminewind/errors.py
+++ b/src/_jasminewind/errors.py
@@ -48,9 +48,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class WireError:
-    """A malformed message or an unusable link."""
+    """A malformed message or an unusable link.
+
+    ``message_type`` is set if only the message cannot be read, and the frame
+    can.
+    """
 
     reason: str
+    message_type: str = ""
 
 
 class TableFailure(enum.StrEnum):
--- a/src/_jasminewind/nodes/job_node.py
+++ b/src/_jasminewind/nodes/job_node.py
@@ -2,7 +2,10 @@
 
 import typing
 
+from _jasminewind import errors
+from _jasminewind import members
 from _jasminewind import metrics
+from _jasminewind import odd_input
 from _jasminewind.decisions.jobs import registry
 from _jasminewind.nodes import linked_node
 from _jasminewind.wire import links
@@ -25,6 +28,14 @@
     def __init__(self, **options: typing.Any) -> None:
         super().__init__(timeouts=LINK_TIMEOUTS, **options)
         self.registry = registry.EntryRegistry(self.member.address)
+        self.odd = odd_input.OddInput(self.meter)
+
+    def link_unreadable(
+        self, peer: members.NodeId, error: errors.WireError
+    ) -> bool:
+        """Pass a message over: all of them are repeated until confirmed."""
+        self.odd.report("message", str(peer), error.reason)
+        return True
 
     def update_registry(self, rows: dict[str, bytes]) -> None:
         """Read the rows of registered processes; log unusable ones."""
--- a/src/_jasminewind/wire/connections.py
+++ b/src/_jasminewind/wire/connections.py
@@ -8,6 +8,7 @@
 from twisted.internet import protocol
 from twisted.protocols import basic
 
+from _jasminewind import errors
 from _jasminewind import members
 from _jasminewind.messages import links as link_messages
 from _jasminewind.wire import compression
@@ -32,6 +33,12 @@
     ) -> None:
         """The peer of a ready connection has sent a message."""
 
+    def connection_unreadable(
+        self, connection: "Connection", error: errors.WireError
+    ) -> None:
+        """The peer of a ready connection has sent an unreadable message."""
+        connection.close(error.reason)
+
     @abc.abstractmethod
     def connection_closed(self, connection: "Connection", reason: str) -> None:
         """The connection is closed."""
@@ -140,10 +147,14 @@
         self.last_received_s = self.owner.seconds()
         self.ping_sent_s = None
         decoded = self.decompressor.restore(string).and_then(frames.decode)
-        if decoded.is_err():
-            self.close(decoded.unwrap_err().reason)
+        if decoded.is_ok():
+            self._receive(decoded.unwrap())
             return
-        self._receive(decoded.unwrap())
+        error = decoded.unwrap_err()
+        if self.is_ready and error.message_type:
+            self.owner.connection_unreadable(self, error)
+        else:
+            self.close(error.reason)
 
     def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
         """Close the connection on a frame above the limit."""
@@ -232,6 +243,9 @@
             self.close_reason = reason
             typing.cast(typing.Any, self.transport).loseConnection()
             return
+        if self.peer_hello not in (None, hello):
+            self.close("the peer sent another Hello")
+            return
         self.peer_hello = hello
         if hello.accepts_compression and self.compressor is None:
             self.compressor = compression.Compressor()
--- a/src/_jasminewind/wire/frames.py
+++ b/src/_jasminewind/wire/frames.py
@@ -11,6 +11,7 @@
 from _jasminewind.messages import registry
 
 MAX_FRAME_BYTES = 1 << 20
+MAX_TYPE_CHARS = 64
 
 
 class Envelope(msgspec.Struct, frozen=True):
@@ -48,14 +49,16 @@
     """Return the message in a frame payload."""
     try:
         envelope = ENVELOPE_DECODER.decode(payload)
-        if envelope.type not in registry.MODULE_BY_TYPE:
-            return result.Err(
-                errors.WireError(
-                    reason=f"unknown message type {envelope.type[:64]!r}"
-                )
-            )
-        decoder = body_decoder(envelope.type)
-        assert decoder is not None
-        return result.Ok(decoder.decode(envelope.body))
     except json_input.MALFORMED as e:
         return result.Err(errors.WireError(reason=f"malformed frame: {e}"))
+    name = envelope.type[:MAX_TYPE_CHARS]
+    if envelope.type not in registry.MODULE_BY_TYPE:
+        reason = f"unknown message type {name!r}"
+        return result.Err(errors.WireError(reason=reason, message_type=name))
+    decoder = body_decoder(envelope.type)
+    assert decoder is not None
+    try:
+        return result.Ok(decoder.decode(envelope.body))
+    except json_input.MALFORMED as e:
+        reason = f"malformed {name}: {e}"
+        return result.Err(errors.WireError(reason=reason, message_type=name))
--- a/src/_jasminewind/wire/links.py
+++ b/src/_jasminewind/wire/links.py
@@ -9,6 +9,7 @@
 from twisted.internet import error
 from twisted.internet import protocol
 
+from _jasminewind import errors
 from _jasminewind import members
 from _jasminewind import timers
 from _jasminewind.decisions import core
@@ -41,6 +42,16 @@
     def link_message(self, sender: members.NodeId, message: object) -> None:
         """Handle a message from a peer."""
 
+    def link_unreadable(
+        self, peer: members.NodeId, error: errors.WireError
+    ) -> bool:
+        """Return whether a message that cannot be read is passed over.
+
+        Otherwise the link is closed, which tells both sides of the loss.
+        """
+        del peer, error
+        return False
+
     @abc.abstractmethod
     def link_lost(self, peer: members.NodeId) -> None:
         """Handle a closed link; messages sent on it may be lost."""
@@ -255,6 +266,15 @@
         assert node is not None
         self.owner.link_message(node, message)
 
+    def connection_unreadable(
+        self, connection: connections.Connection, error: errors.WireError
+    ) -> None:
+        """Close the connection, unless the owner passes the message over."""
+        node = connection.peer_node()
+        assert node is not None
+        if not self.owner.link_unreadable(node, error):
+            connection.close(error.reason)
+
     def connection_closed(
         self, connection: connections.Connection, reason: str
     ) -> None:
