Pause before a page of changes that names no newer version

Cause: a page without its version, or with an old one, was asked for again at once and for as long as it was sent; each call has a price.

--- a/src/_jasminewind/platform/rows.py
+++ b/src/_jasminewind/platform/rows.py
@@ -393,6 +393,7 @@
 
     async def watch(self) -> float:
         """Wait for changes; return the delay before the next call."""
+        began_s = self.timers.clock.seconds()
         reply = await self.store.feed(self.table, self.version, self.wait_s)
         if reply.is_err():
             error = reply.unwrap_err()
@@ -407,12 +408,15 @@
             return self.on_failure(error)
         page = reply.unwrap()
         self.on_success()
+        is_newer = page.version > self.version
         self.version = max(self.version, page.version)
         for row in page.rows:
             self.apply_row(self.rows, row)
         if page.rows:
             self.on_rows(dict(self.rows))
-        return 0.0
+        # A page that names no newer version is sent again at once.
+        waited_s = self.timers.clock.seconds() - began_s
+        return 0.0 if is_newer or waited_s > RETRY_DELAY_S else RETRY_DELAY_S
 
     def apply_row(self, rows: Rows, row: Row) -> None:
         """Store or delete one changed row."""
