--- a/src/_jasminewind/platform/bodies.py
+++ b/src/_jasminewind/platform/bodies.py
@@ -7,7 +7,9 @@
 import typing
 
 import msgspec
+import result
 
+from _jasminewind import errors
 from _jasminewind import json_input
 from _jasminewind import resources
 from _jasminewind.decisions.jobs import actions
@@ -30,11 +32,16 @@
 # Limits on values of other writers. What is beyond them is a mistake, and
 # some of it could not be encoded again.
 MAX_NAME_CHARS = 200
+MAX_TEXT_CHARS = 10_000
 MAX_LABELS = 100
 MAX_MILLISECONDS = 10**13
 MAX_AMOUNT = 10**12
 MAX_COUNT = 10**9
+# 500 ends with their checkpoints fit into one message to an entry.
+MAX_CHECKPOINT_CHARS = 1_000
 Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+Text = typing.Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARS)]
+Factor = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
 Labels = typing.Annotated[
     tuple[Name, ...], msgspec.Meta(max_length=MAX_LABELS)
 ]
@@ -42,7 +49,29 @@
 Duration = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
 Amount = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Version = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+Number = typing.Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
+Percent = typing.Annotated[float, msgspec.Meta(ge=0, le=100)]
+Checkpoint = typing.Annotated[
+    str, msgspec.Meta(max_length=MAX_CHECKPOINT_CHARS)
+]
 decode = json_input.decode
+# Level of the lists of rows in a body, which is an object.
+ROWS_LEVEL = 2
+T = typing.TypeVar("T")
+
+
+def decode_with_rows(
+    text: bytes, kind: type[T]
+) -> result.Result[T, errors.WireError]:
+    """Decode a body with lists of undecoded rows.
+
+    A row that is no JSON does not make the others unreadable; it is ``null``.
+    """
+    decoded = decode(text, kind)
+    if decoded.is_ok():
+        return decoded
+    return decode(json_input.replace_malformed(text, ROWS_LEVEL), kind)
 
 
 class Body(msgspec.Struct, rename="kebab", kw_only=True):
@@ -156,16 +185,16 @@
 class RouteBody(Body):
     """A queue of the configuration, which the platform calls a route."""
 
-    name: str
-    host: str
-    prefix: str
-    service: str
-    timeout_ms: float = 0
+    name: Text
+    host: Text
+    prefix: Text
+    service: Text
+    timeout_ms: Duration = 0
     # Added to the stretched run time of the job; not the whole target.
-    target_completion_ms: float = 0
-    priority: int = 0
-    attempt_limit: int = 1
-    stretch: float = 1.0
+    target_completion_ms: Duration = 0
+    priority: Number = 0
+    attempt_limit: Number = 1
+    stretch: Factor = 1.0
 
     def to_queue(self) -> specs.Queue:
         """Convert to the internal type."""
@@ -185,55 +214,99 @@
 class LimitsBody(Body):
     """Limits on requests of callers."""
 
-    header_bytes: int = 16_384
-    body_bytes: int = 262_144
-    header_timeout_ms: float = 3_000
-    idle_timeout_ms: float = 15_000
+    header_bytes: Count = 16_384
+    body_bytes: Count = 262_144
+    header_timeout_ms: Duration = 3_000
+    idle_timeout_ms: Duration = 15_000
+
+    def to_limits(self) -> specs.JobLimits:
+        """Convert to the internal type."""
+        return specs.JobLimits(
+            header_bytes=self.header_bytes,
+            body_bytes=self.body_bytes,
+            header_timeout_s=self.header_timeout_ms / 1000,
+            idle_timeout_s=self.idle_timeout_ms / 1000,
+        )
 
 
 class ConfigBody(Body):
-    """The configuration that operators write."""
+    """The configuration that operators write; its parts are undecoded."""
 
-    version: int
-    routes: tuple[RouteBody, ...]
-    limits: LimitsBody = msgspec.field(default_factory=LimitsBody)
+    version: Version
+    routes: tuple[msgspec.Raw, ...]
+    limits: msgspec.Raw = msgspec.Raw(b"{}")
 
-    def to_configuration(self) -> specs.JobConfiguration:
-        """Convert to the internal type."""
-        return specs.JobConfiguration(
-            version=self.version,
-            queues=tuple(route.to_queue() for route in self.routes),
-            limits=specs.JobLimits(
-                header_bytes=self.limits.header_bytes,
-                body_bytes=self.limits.body_bytes,
-                header_timeout_s=self.limits.header_timeout_ms / 1000,
-                idle_timeout_s=self.limits.idle_timeout_ms / 1000,
-            ),
-        )
+
+class ReadConfiguration(typing.NamedTuple):
+    """A configuration without the parts that cannot be read, and why."""
+
+    configuration: specs.JobConfiguration
+    mistakes: tuple[str, ...]
+
+
+def read_configuration(
+    value: bytes,
+) -> result.Result[ReadConfiguration, errors.WireError]:
+    """Read the configuration; each odd part is passed over alone.
+
+    One that lists routes of which none can be read is not used, as it would
+    remove every queue.
+    """
+    return decode_with_rows(value, ConfigBody).and_then(convert_configuration)
+
+
+def convert_configuration(
+    body: ConfigBody,
+) -> result.Result[ReadConfiguration, errors.WireError]:
+    """Convert what can be read of a configuration."""
+    queues = []
+    mistakes = []
+    for number, text in enumerate(body.routes):
+        route = decode(bytes(text), RouteBody)
+        if route.is_ok():
+            queues.append(route.unwrap().to_queue())
+        else:
+            mistakes.append(f"routes[{number}]: {route.unwrap_err().reason}")
+    if body.routes and not queues:
+        return result.Err(errors.WireError(reason=mistakes[0]))
+    limits = decode(bytes(body.limits), LimitsBody)
+    if limits.is_err():
+        mistakes.append(f"limits: {limits.unwrap_err().reason}")
+    configuration = specs.JobConfiguration(
+        version=body.version,
+        queues=tuple(queues),
+        limits=limits.unwrap_or(LimitsBody()).to_limits(),
+    )
+    return result.Ok(ReadConfiguration(configuration, tuple(mistakes)))
 
 
 class RouteServiceBody(Body):
     """The service that runs the tasks of a queue."""
 
-    service: str = ""
+    service: Text = ""
 
 
 class ServiceBody(Body):
     """A service of the configuration."""
 
-    name: str = ""
+    name: Text = ""
 
 
 class ServicesBody(Body):
     """The part of the configuration that names services."""
 
-    routes: tuple[RouteServiceBody, ...] = ()
-    services: tuple[ServiceBody, ...] = ()
+    routes: tuple[msgspec.Raw, ...] = ()
+    services: tuple[msgspec.Raw, ...] = ()
 
     def names(self) -> frozenset[str]:
-        """Return the names of all services."""
-        used = {route.service for route in self.routes}
-        return frozenset(used | {service.name for service in self.services})
+        """Return the names of all services that can be read."""
+        routes = (
+            decode(bytes(each), RouteServiceBody) for each in self.routes
+        )
+        services = (decode(bytes(each), ServiceBody) for each in self.services)
+        used = {each.unwrap().service for each in routes if each.is_ok()}
+        named = {each.unwrap().name for each in services if each.is_ok()}
+        return frozenset(used | named)
 
 
 # Endpoints
@@ -302,22 +375,75 @@
 class AnswerBody(Body):
     """Response to a start or a stop."""
 
-    clock_ms: int = 0
+    clock_ms: Milliseconds = 0
     reason: str = ""
 
 
+class Row(msgspec.Struct, array_like=True):
+    """Base of rows, whose fields are decoded by position."""
+
+
+class RunningRow(Row):
+    """Running work; only its name and number are certain to be readable."""
+
+    task: Name
+    run: Count
+    checkpoint: msgspec.Raw = msgspec.Raw()
+    percent: msgspec.Raw = msgspec.Raw()
+
+
+class EndedRow(Row):
+    """Ended work; only its first three fields are certain to be readable."""
+
+    number: Count
+    task: Name
+    run: Count
+    how: msgspec.Raw = msgspec.Raw()
+    checkpoint: msgspec.Raw = msgspec.Raw()
+
+
 class StateBody(Body):
-    """Response to a renewal; its rows are decoded by position."""
+    """Response to a renewal; each row is decoded alone."""
+
+    clock_ms: Milliseconds
+    running: tuple[msgspec.Raw, ...] = ()
+    ended: tuple[msgspec.Raw, ...] = ()
+    born: Milliseconds = 0
+
+
+class WholeRunningRow(Row):
+    """Running work of which everything can be read."""
+
+    task: Name
+    run: Count
+    checkpoint: Checkpoint
+    percent: Percent
+
+
+class WholeEndedRow(Row):
+    """Ended work of which everything can be read."""
+
+    number: Count
+    task: Name
+    run: Count
+    how: typing.Literal[
+        "done", "failed", "stopped", "lapsed", "broken", "alone"
+    ]
+    checkpoint: Checkpoint
+
 
-    clock_ms: int
-    running: tuple[tuple[typing.Any, ...], ...] = ()
-    ended: tuple[tuple[typing.Any, ...], ...] = ()
-    born: int = 0
+class WholeStateBody(Body):
+    """Response to a renewal of which every row can be read."""
+
+    clock_ms: Milliseconds
+    running: tuple[WholeRunningRow, ...] = ()
+    ended: tuple[WholeEndedRow, ...] = ()
+    born: Milliseconds = 0
 
 
 # The endpoint lists at most this many ended runs in one response.
 MAX_LISTED_ENDS = 500
-RUN_OUTCOMES = {
+RUN_OUTCOMES: dict[str, runs.RunOutcome] = {
     "done": runs.RunOutcome.DONE,
     "failed": runs.RunOutcome.FAILED,
     "stopped": runs.RunOutcome.STOPPED,
@@ -334,48 +460,30 @@
 }
 
 
-def parse_running_run(row: tuple[typing.Any, ...]) -> actions.RunningRun:
-    """Parse a row of running work: task, run, checkpoint, percent."""
-    task, number, checkpoint, percent = row[:4]
-    return actions.RunningRun(
-        key=runs.RunKey(str(task), int(number)),
-        checkpoint=str(checkpoint),
-        percent=int(percent),
-    )
-
-
-def parse_ended_run(row: tuple[typing.Any, ...]) -> actions.ListedEnd:
-    """Parse a row of ended work: number, task, run, how, checkpoint."""
-    number, task, run, how, checkpoint = row[:5]
-    return actions.ListedEnd(
-        number=int(number),
-        key=runs.RunKey(str(task), int(run)),
-        outcome=RUN_OUTCOMES.get(str(how), runs.RunOutcome.LAPSED),
-        checkpoint=str(checkpoint),
-    )
-
-
 # The store
 
 
 class RowBody(Body):
     """A row; ``value`` is base64."""
 
-    table: str = ""
-    part: str = ""
-    key: str = ""
+    table: Name = ""
+    part: Name = ""
+    key: Name = ""
     value: str = ""
-    version_number: int = 0
+    version_number: Version = 0
     # Set in a change feed when the row was deleted.
     deleted: bool = False
 
 
 class RowsBody(Body):
-    """Rows, and the newest version of the whole store."""
+    """Rows, and the newest version of the whole store.
+
+    Each row is decoded alone as a :class:`RowBody`.
+    """
 
-    rows: tuple[RowBody, ...] = ()
+    rows: tuple[msgspec.Raw, ...] = ()
     has_more: bool = False
-    version_number: int = 0
+    version_number: Version = 0
 
 
 class PutBody(Body):
@@ -406,7 +514,7 @@
 class WrittenBody(Body):
     """Response to a committed transaction."""
 
-    version_number: int = 0
+    version_number: Version = 0
 
 
 class StateAnswer(OutgoingBody):
--- a/src/_jasminewind/platform/daemon.py
+++ b/src/_jasminewind/platform/daemon.py
@@ -24,6 +24,7 @@
 from _jasminewind.decisions.jobs import registry
 from _jasminewind.platform import bodies
 from _jasminewind.platform import http_server
+from _jasminewind import odd_input
 from _jasminewind.platform import rows
 from _jasminewind.platform import status_pages
 
@@ -73,10 +74,15 @@
             failure_domain=settings.failure_domain,
             rack="",
         )
+        self.meter = prometheus_metrics.PrometheusMeter()
+        self.odd_input = odd_input.OddInput(self.meter)
         store = job_settings.address(settings.store)
         assert store is not None
         self.store = rows.RowStore(
-            reactor=reactor, host=store.host, port=store.port
+            reactor=reactor,
+            host=store.host,
+            port=store.port,
+            odd=self.odd_input,
         )
         is_entry = settings.role is members.Role.ENTRY
         self.registration = rows.RowWriter(
@@ -96,7 +102,6 @@
             )
         ]
         self.known_endpoint: registry.KnownEndpoint | None = None
-        self.meter = prometheus_metrics.PrometheusMeter()
         self.ports: list[typing.Any] = []
         self.sites: list[tuple[str, typing.Any]] = []
         self.shutdown_started_s = 0.0
@@ -163,12 +168,16 @@
                 reactor=self.reactor,
                 timer_service=self.timers,
                 address=address,
+                odd=self.odd_input,
             ),
             on_endpoint=self.on_endpoint_changed,
             read_services=self.read_services,
         )
         self.sites = [
-            (self.settings.control, http_server.Site(control.Control(agent)))
+            (
+                self.settings.control,
+                http_server.Site(control.Control(agent, self.odd_input)),
+            )
         ]
         return agent
 
@@ -207,14 +216,19 @@
         value = table_rows.get(bodies.CONFIGURATION_KEY)
         if value is None:
             return
-        body = bodies.decode(value, bodies.ConfigBody)
-        if body.is_err():
-            self.log.error(
-                "unreadable configuration; the last one stays in force",
-                reason=body.unwrap_err().reason,
+        read = bodies.read_configuration(value)
+        if read.is_err():
+            self.odd_input.report(
+                "configuration",
+                "the last one stays in force",
+                read.unwrap_err().reason,
             )
             return
-        self.node.set_configuration(body.unwrap().to_configuration())
+        configuration, mistakes = read.unwrap()
+        for mistake in mistakes:
+            name = f"version {configuration.version}"
+            self.odd_input.report("configuration", name, mistake)
+        self.node.set_configuration(configuration)
 
     async def read_services(self) -> frozenset[str] | None:
         """Return the configured services, ``None`` if not readable.
@@ -226,7 +240,9 @@
             bodies.CONFIGURATION_TABLE, bodies.CONFIGURATION_KEY
         )
         body = row.and_then(
-            lambda value: bodies.decode(value or b"", bodies.ServicesBody)
+            lambda value: bodies.decode_with_rows(
+                value or b"", bodies.ServicesBody
+            )
         )
         if body.is_err():
             self.log.warning(
