Log what entries refuse, look up and cannot tell, and when they are stale

Cause: of test_rolling_replacement_under_load only the counts of the replies were seen. An entry wrote no line when it refused a submission, asked an owner for a record only, or ceased to be fresh, and an owner none when it answered "may have run", so that the logs of a failed run could not tell four causes apart: an entry without a confirmed configuration, its quota, an owner that has left, and an interval that was not extended.

New kinds lookup, may_have_run and freshness; entries write refusal too. The client of the tests prints each reply other than COMPLETE, which pytest shows when the test fails. No check is changed.

--- a/src/_jasminewind/decisions/coordinator.py
+++ b/src/_jasminewind/decisions/coordinator.py
@@ -476,7 +476,14 @@
         answer = work.Answer(
             work_id=work_id, state=work.WorkState.FAILED, error=error
         )
-        return [self.reply(each, answer) for each in requesters]
+        decision = core.LogDecision(
+            kind="may_have_run",
+            work_id=work_id,
+            candidates=tuple(str(each) for each in requesters),
+            choice=str(error.code),
+            reason=reason,
+        )
+        return [decision, *(self.reply(each, answer) for each in requesters)]
 
     def hold(
         self,
--- a/src/_jasminewind/decisions/relay.py
+++ b/src/_jasminewind/decisions/relay.py
@@ -198,12 +198,12 @@
             return []
         refusal = self._reason_never_accepted(submit, now)
         if refusal is not None:
-            return [self._refuse(ticket, submit, refusal)]
+            return self._refuse(ticket, submit, refusal)
         refusal = self._refusal(submit, now)
         if refusal is not None and (entry_made or not self._can_ask_owner()):
             if not entry_made:
                 refusal = _as_may_have_run(refusal)
-            return [self._refuse(ticket, submit, refusal)]
+            return self._refuse(ticket, submit, refusal)
         pending = PendingSubmission(
             submit=submit,
             entry_made=entry_made,
@@ -443,6 +443,8 @@
         actions: core.Actions = [
             core.Send(to=node, address=address, message=submit)
         ]
+        if submit.join_only:
+            actions.append(lookup_decision(pending, node))
         if pending.canceled:
             cancel = work.Cancel(work_id=submit.work_id)
             actions.append(core.Send(to=node, address=address, message=cancel))
@@ -519,6 +521,8 @@
         elif pending.refusal is not None and _is_not_run(answer):
             # The owner has confirmed that the id did not run.
             answer = dataclasses.replace(answer, error=pending.refusal)
+            refusal = failure_decision(answer.work_id, pending.refusal)
+            return [refusal, *self._finish(pending, answer)]
         return self._finish(pending, answer)
 
     def _on_redirect(
@@ -593,7 +597,8 @@
             state=work.WorkState.FAILED,
             error=error,
         )
-        return self._finish(pending, answer)
+        decision = failure_decision(pending.submit.work_id, error)
+        return [decision, *self._finish(pending, answer)]
 
     def _finish(
         self, pending: PendingSubmission, answer: work.Answer
@@ -669,13 +674,16 @@
 
     def _refuse(
         self, ticket: int, submit: work.Submit, error: errors.WorkError
-    ) -> core.Action:
+    ) -> core.Actions:
         answer = work.Answer(
             work_id=submit.work_id,
             state=work.WorkState.FAILED,
             error=error,
         )
-        return core.ReplyToCaller(ticket=ticket, message=answer)
+        return [
+            failure_decision(submit.work_id, error),
+            core.ReplyToCaller(ticket=ticket, message=answer),
+        ]
 
     # Queries about work
 
@@ -768,6 +776,34 @@
         return member.address if member else members.NO_ADDRESS
 
 
+def failure_decision(
+    work_id: str, error: errors.WorkError
+) -> core.LogDecision:
+    """Return the decision log line of a refusal or an unknown outcome."""
+    is_refusal = error.outcome is errors.Outcome.NOT_RUN
+    return core.LogDecision(
+        kind="refusal" if is_refusal else "may_have_run",
+        work_id=work_id,
+        choice=str(error.code),
+        reason=error.reason,
+    )
+
+
+def lookup_decision(
+    pending: PendingSubmission, node: members.NodeId
+) -> core.LogDecision:
+    """Return the decision log line of asking for a record only."""
+    reason = "the owner of the id is gone; a later owner may have its record"
+    if pending.refusal is not None:
+        reason = f"before a refusal: {pending.refusal.reason}"
+    return core.LogDecision(
+        kind="lookup",
+        work_id=pending.submit.work_id,
+        choice=str(node),
+        reason=reason,
+    )
+
+
 def _is_not_run(answer: work.Answer) -> bool:
     error = answer.error
     return error is not None and error.outcome is errors.Outcome.NOT_RUN
--- a/src/_jasminewind/nodes/entry.py
+++ b/src/_jasminewind/nodes/entry.py
@@ -99,6 +99,7 @@
         self.is_leaving = False
         self.is_initial_proposed = False
         self.notified_view: tuple[members.Member, ...] = ()
+        self.was_fresh = False
         self.handlers[core.ReplyToCaller] = self._reply_to_caller
         self.handlers[proposals.ProposalResult] = self._on_proposal_result
         self.handlers[core.LogDecision] = self._log_decision
@@ -267,7 +268,9 @@
         contacts = self.config_sync.entries()
         self.directory.set_entries(contacts)
         self.relay.set_entry_count(len(contacts))
-        self.relay.set_fresh(self.config_sync.is_fresh(now))
+        is_fresh = self.config_sync.is_fresh(now)
+        self.relay.set_fresh(is_fresh)
+        self._log_freshness(is_fresh, now)
         self._propose_initial_config(now)
         view = self.directory.members()
         if view is not self.notified_view:
@@ -382,6 +385,23 @@
             case result.Err(changes.ConfigUnavailable()):
                 self.is_initial_proposed = False
 
+    def _log_freshness(self, is_fresh: bool, now: core.Instant) -> None:
+        """Log when the entry begins or ceases to be fresh."""
+        if is_fresh is self.was_fresh:
+            return
+        self.was_fresh = is_fresh
+        age_s = now.mono_s - self.config_sync.confirmed_s(now)
+        self.decision_log.write(
+            core.LogDecision(
+                kind="freshness",
+                choice="fresh" if is_fresh else "stale",
+                reason=(
+                    f"version {self.config().version} was confirmed "
+                    f"{age_s:.1f} s ago"
+                ),
+            )
+        )
+
     def _wake(self, waiter: defer.Deferred[typing.Any]) -> None:
         if waiter in self.config_waiters:
             self.config_waiters.remove(waiter)
--- a/testing/fleet/traffic.py
+++ b/testing/fleet/traffic.py
@@ -162,6 +162,10 @@
         reply = send(base_url, work)
         with self.lock:
             self.replies.append(reply)
+        if reply.outcome != COMPLETE:
+            # Shown by pytest when the test fails; the processes' logs have
+            # the decisions on the id.
+            print(reply)
         return reply
 
     def submit_until_answered(self, work: Work) -> Reply:
