Decide on new work by the entry's freshness itself, not by a copy of it

What callers saw: while processes were replaced one after the other under load, some submissions were refused with NOT_RUN, "this entry cannot confirm that its configuration is the newest". The refusals were true.

Cause: the readiness check computes the freshness of the configuration when it is asked, and the relay used a copy that Entry.refresh made every 0.2 s. A new entry whose first read of the table ends after the first refresh is ready up to 0.2 s before the relay takes work. The balancer sends calls at once, and the relay asks the owners for a record only (join_only) and refuses.

The relay takes the same object as the readiness check, as the coordinator does, and both are asked at the moment of the decision. No other copy of the freshness is left.

Test: testing/nodes/test_entry.py fails without the change.

--- a/src/_jasminewind/decisions/coordinator.py
+++ b/src/_jasminewind/decisions/coordinator.py
@@ -50,13 +50,6 @@
         """Accept no more ids at or below ``floor_ms``."""
 
 
-class Freshness(typing.Protocol):
-    """Tells whether the local configuration is confirmed as current."""
-
-    def is_fresh(self, now: core.Instant) -> bool:
-        """Tell whether an entry has confirmed the version recently."""
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CoordinatorStatus:
     """Counts of submissions and tasks at one moment."""
@@ -89,7 +82,7 @@
         member: members.Member,
         ownership: Ownership,
         rng: random.Random,
-        freshness: Freshness | None = None,
+        freshness: core.Freshness | None = None,
         meter: metrics.Meter = metrics.NO_METER,
     ) -> None:
         self.member = member
--- a/src/_jasminewind/decisions/core.py
+++ b/src/_jasminewind/decisions/core.py
@@ -189,6 +189,13 @@
 Actions = list[Action]
 
 
+class Freshness(typing.Protocol):
+    """Tells whether the local configuration is confirmed as current."""
+
+    def is_fresh(self, now: Instant) -> bool:
+        """Tell whether the version was confirmed recently."""
+
+
 class StateMachine(abc.ABC):
     """Base class of the state machines that a node runs."""
 
--- a/src/_jasminewind/decisions/relay.py
+++ b/src/_jasminewind/decisions/relay.py
@@ -108,6 +108,7 @@
         member: members.Member,
         directory: directories.Directory,
         rng: random.Random,
+        freshness: core.Freshness | None = None,
         max_pending: int = MAX_PENDING,
     ) -> None:
         self.member = member
@@ -116,7 +117,7 @@
         self.max_pending = max_pending
         self.config = configuration.NO_CONFIGURATION
         self.quotas = quotas.EntryQuotas()
-        self.is_fresh = True
+        self.freshness = freshness
         self.pending: dict[str, PendingSubmission] = {}
         self.by_ticket: dict[int, str] = {}
         # Maps the first id that this entry made to its replacement.
@@ -271,10 +272,6 @@
         """Divide team quotas among ``count`` registered entries."""
         self.quotas.entry_count = max(1, count)
 
-    def set_fresh(self, is_fresh: bool) -> None:
-        """Accept new work only while the configuration is fresh."""
-        self.is_fresh = is_fresh
-
     def on_config(
         self, config: configuration.Configuration, now: core.Instant
     ) -> core.Actions:
@@ -648,7 +645,7 @@
                 errors.Code.UNAVAILABLE,
                 "this entry has no configuration yet; use another entry",
             )
-        if not self.is_fresh:
+        if self.freshness is not None and not self.freshness.is_fresh(now):
             return _not_run(
                 errors.Code.UNAVAILABLE,
                 "this entry cannot confirm that its configuration is the "
--- a/src/_jasminewind/nodes/entry.py
+++ b/src/_jasminewind/nodes/entry.py
@@ -83,12 +83,15 @@
         self.initial_config = initial_config
         self.rng = rng
         self.directory = directory.Directory(member=member, rng=rng)
-        self.relay = relay.Relay(
-            member=member, directory=self.directory, rng=rng
-        )
         self.config_sync = entry_config_sync.EntryConfigSync(
             member=member, rng=rng
         )
+        self.relay = relay.Relay(
+            member=member,
+            directory=self.directory,
+            rng=rng,
+            freshness=self.config_sync,
+        )
         self.shard_releaser = shard_release.ShardReleaser(
             node=self, member=member, rng=rng
         )
@@ -268,9 +271,7 @@
         contacts = self.config_sync.entries()
         self.directory.set_entries(contacts)
         self.relay.set_entry_count(len(contacts))
-        is_fresh = self.config_sync.is_fresh(now)
-        self.relay.set_fresh(is_fresh)
-        self._log_freshness(is_fresh, now)
+        self._log_freshness(now)
         self._propose_initial_config(now)
         view = self.directory.members()
         if view is not self.notified_view:
@@ -385,8 +386,9 @@
             case result.Err(changes.ConfigUnavailable()):
                 self.is_initial_proposed = False
 
-    def _log_freshness(self, is_fresh: bool, now: core.Instant) -> None:
+    def _log_freshness(self, now: core.Instant) -> None:
         """Log when the entry begins or ceases to be fresh."""
+        is_fresh = self.config_sync.is_fresh(now)
         if is_fresh is self.was_fresh:
             return
         self.was_fresh = is_fresh
--- a/testing/decisions/test_relay.py
+++ b/testing/decisions/test_relay.py
@@ -25,6 +25,18 @@
     return core.Instant(seconds, WALL_MS + int(seconds * 1000))
 
 
+class Freshness:
+    """Fake freshness, which the test sets."""
+
+    def __init__(self) -> None:
+        self.is_confirmed = True
+
+    def is_fresh(self, now: core.Instant) -> bool:
+        """Return what the test has set."""
+        del now
+        return self.is_confirmed
+
+
 class Entry:
     """A relay with a directory of one shard and two agents."""
 
@@ -32,10 +44,12 @@
         record = fleets.entry_record(0)
         rng = random.Random(4)
         self.directory = directory.Directory(member=record, rng=rng)
+        self.freshness = Freshness()
         self.relay = relay.Relay(
             member=record,
             directory=self.directory,
             rng=rng,
+            freshness=self.freshness,
             max_pending=max_pending,
         )
         millers = configuration.Team(name="millers", **team)  # type: ignore
@@ -311,7 +325,7 @@
 def test_entry_that_is_not_fresh_refuses_as_not_run() -> None:
     """Guards against new work under an outdated configuration."""
     entry = Entry()
-    entry.relay.set_fresh(False)
+    entry.freshness.is_confirmed = False
     _, refused = entry.submit(1, entry_made=True)
     error = failure(refused)
     assert error.code is errors.Code.UNAVAILABLE
--- a/testing/nodes/conftest.py
+++ b/testing/nodes/conftest.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 import result
 import structlog
@@ -13,8 +14,10 @@
 from _jasminewind import timers
 from _jasminewind.decisions import core
 from _jasminewind.nodes import agent as agents
+from _jasminewind.nodes import entry as entries
 from _jasminewind.platform import client
 from testing.decisions import fakes
+from testing.decisions import fleet
 
 MEMBER = members.Member(
     node=members.NodeId("agent-0", 1),
@@ -98,3 +101,23 @@
     )
     agent.apply_config(configuration.Configuration(version=1, shard_count=2))
     return agent
+
+
+@pytest.fixture
+def entry(clock):
+    """Return an entry whose table has a configuration it has not read."""
+    table = Table()
+    config = fleet.config(1, shard_count=1)
+    table.fake.rows[configuration.CONFIG_KEY] = (
+        1,
+        msgspec.json.encode(config).decode(),
+    )
+    return entries.Entry(
+        reactor=clock,
+        timer_service=timers.TimerService(clock=clock, wall_ms=clock.wall_ms),
+        member=fleet.entry_record(0),
+        table=table,
+        decision_log=DecisionLog(),
+        log=structlog.get_logger(),
+        rng=random.Random(1),
+    )
--- /dev/null
+++ b/testing/nodes/test_entry.py
@@ -0,0 +1,73 @@
+"""Tests of the entry: how its state machines are wired together."""
+
+import random
+
+from _jasminewind import ids
+from _jasminewind.decisions import core
+from _jasminewind.messages import membership
+from _jasminewind.messages import ownership
+from _jasminewind.messages import work
+from testing.decisions import fakes
+from testing.decisions import fleet
+
+OWNER = fleet.agent_record(0)
+
+
+def record_sends(entry):
+    """Return a list to which each sent submission is added."""
+    sent = []
+
+    def record(machine, action):
+        del machine
+        if isinstance(action.message, work.Submit):
+            sent.append(action.message)
+
+    entry.handlers[core.Send] = record
+    return sent
+
+
+def report_owner(entry):
+    """Tell the entry that an agent serves and owns the only shard."""
+    digest = membership.CellDigest(
+        cell=0,
+        reporter=OWNER.node,
+        sequence=1,
+        digest_hash=0,
+        full=True,
+        records=(OWNER,),
+    )
+    entry.link_message(OWNER.node, digest)
+    row = fleet.shard_row(0, OWNER)
+    entry.link_message(OWNER.node, ownership.OwnerAnnounce(row=row))
+
+
+def submission(entry):
+    """Return a request whose id the caller chose."""
+    now = entry.timers.now()
+    return work.Submit(
+        work_id=ids.new(wall_ms=now.wall_ms, rng=random.Random(1)),
+        kind=work.WorkKind.REQUEST,
+        team="millers",
+        tasks=(
+            work.Task(name="call", service="hutch-orders", method="quote"),
+        ),
+        budget_s=30.0,
+        config_version=1,
+    )
+
+
+def test_an_entry_takes_work_as_soon_as_it_is_ready(entry, clock):
+    """Guards against an entry that is ready and refuses what it is sent.
+
+    Pattern: entries are replaced one after the other under load, and the
+    balancer sends calls to a new one at its first successful health check.
+    """
+    sent = record_sends(entry)
+    entry.table.fake.mode = fakes.TableMode.OUTAGE
+    clock.run(0.5)
+    entry.table.fake.mode = fakes.TableMode.OK
+    while not entry.is_ready().ready:
+        clock.advance(0.01)
+    report_owner(entry)
+    entry.submit(submission(entry))
+    assert [message.join_only for message in sent] == [False]
