Hold new work while an entry confirms its configuration after a pause

What callers saw: NOT_RUN, "this entry takes no work: neither the table nor other entries answer it", for new work, and MAY_HAVE_RUN, "an earlier submission with this id was accepted; ask for its answer", for work that had completed and whose answer another entry would have returned.

Cause: an entry is fresh for 2 s from its last confirmed read, which it repeats each second. One that gets no processor time for more than 1 s is stale when it wakes, and reads the calls that waited in its sockets before the reply to its next read. It refused them at once, although it is fresh again some 0.1 s later.

After that the entry refuses at once as before; a caller's own id is looked up first. The API passes valid work of a stale entry on to the relay, so that a resubmission is joined to its record. Readiness is unchanged, and no work is forwarded under a configuration that is not confirmed.

Cost: an entry that is cut off answers the calls of its first 1.5 s late. The balancer stops sending after its next health check.

--- a/src/_jasminewind/api/backend.py
+++ b/src/_jasminewind/api/backend.py
@@ -18,12 +18,15 @@
     """Result of the readiness check; ``reason`` says why it fails.
 
     An entry that is shutting down is not ready but still ``accepts_work``,
-    because the load balancer sends calls until its next health check.
+    because the load balancer sends calls until its next health check. So
+    does one whose configuration is not ``confirmed``: it holds them for a
+    moment until it is, or refuses them.
     """
 
     ready: bool
     reason: str = ""
     accepts_work: bool = False
+    confirmed: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/_jasminewind/api/submissions.py
+++ b/src/_jasminewind/api/submissions.py
@@ -55,7 +55,9 @@
             if refusal.is_permanent:
                 return result.Err(refusal.error)
         readiness = self.backend.is_ready()
-        if not (readiness.ready or readiness.accepts_work):
+        # Input that is refused may be valid in a newer configuration.
+        is_unsure = refusal is not None and not readiness.confirmed
+        if is_unsure or not (readiness.ready or readiness.accepts_work):
             refusal = validation.Refusal(
                 error=connect.failure(
                     f"this entry takes no work: {readiness.reason}; send the "
--- a/src/_jasminewind/decisions/relay.py
+++ b/src/_jasminewind/decisions/relay.py
@@ -26,6 +26,9 @@
 # A copy without a failure or redirect for this long counts as delivered.
 ASSUME_DELIVERED_S = 2.0
 QUERY_TIMEOUT_S = 5.0
+# An entry reads the table every second and asks the other entries every 0.9 s
+# when a read is late, so a lost question is repeated within this time.
+CONFIG_CONFIRMATION_TIMEOUT_S = 1.5
 NEW_ID_DRAWS = 8
 MAX_CLOCK_SKEW_MS = 60_000
 
@@ -42,7 +45,8 @@
     owners are asked for the record that was handed over; ``without_record``
     are those that don't have it. ``refusal`` is why this entry does not take
     the work: the owner is then only asked whether it knows the id, and its
-    answer decides.
+    answer decides. ``is_held`` is set while the entry waits for a confirmation
+    of its configuration; ``refusal`` then applies if none arrives.
     """
 
     submit: work.Submit
@@ -63,6 +67,7 @@
     unreachable_since_s: float | None = None
     asks_later_owner: bool = False
     refusal: errors.WorkError | None = None
+    is_held: bool = False
     without_record: set[members.NodeId] = dataclasses.field(
         default_factory=set
     )
@@ -118,6 +123,9 @@
         self.config = configuration.NO_CONFIGURATION
         self.quotas = quotas.EntryQuotas()
         self.freshness = freshness
+        # Since when the configuration has been unconfirmed.
+        self.stale_since_s: float | None = None
+        self.held: list[str] = []
         self.pending: dict[str, PendingSubmission] = {}
         self.by_ticket: dict[int, str] = {}
         # Maps the first id that this entry made to its replacement.
@@ -201,7 +209,14 @@
         if refusal is not None:
             return self._refuse(ticket, submit, refusal)
         refusal = self._refusal(submit, now)
-        if refusal is not None and (entry_made or not self._can_ask_owner()):
+        is_held = (
+            refusal is not None
+            and self._awaits_confirmation(now)
+            and self._can_ask_owner()
+        )
+        if is_held:
+            self.held.append(submit.work_id)
+        elif refusal is not None and (entry_made or not self._can_ask_owner()):
             if not entry_made:
                 refusal = _as_may_have_run(refusal)
             return self._refuse(ticket, submit, refusal)
@@ -211,10 +226,11 @@
             deadline_s=now.mono_s + submit.budget_s,
             tickets=[ticket],
             refusal=refusal,
+            is_held=is_held,
         )
         self._add(pending)
         self.by_ticket[ticket] = submit.work_id
-        return self._try_send(pending, now)
+        return [] if is_held else self._try_send(pending, now)
 
     def cancel(self, work_id: str, now: core.Instant) -> core.Actions:
         """Forward a cancellation to each process that may have the work."""
@@ -322,7 +338,7 @@
     def on_tick(self, now: core.Instant) -> core.Actions:
         """Resend what is due and fail what passed its deadline."""
         self._retry_dead_targets(now)
-        actions: core.Actions = []
+        actions = self._release_held(now)
         while self.retries and self.retries[0][0] <= now.mono_s:
             due_s, work_id = heapq.heappop(self.retries)
             pending = self.pending.get(work_id)
@@ -497,6 +513,42 @@
                     pending.note_delivered(now.mono_s)
                     self._retry_at(pending, now.mono_s)
 
+    # Waiting for a confirmed configuration
+
+    def _awaits_confirmation(self, now: core.Instant) -> bool:
+        """Return whether the configuration may still be confirmed in time."""
+        is_fresh = self.freshness is None or self.freshness.is_fresh(now)
+        if is_fresh or self.config.version == 0:
+            self.stale_since_s = None
+            return False
+        if self.stale_since_s is None:
+            self.stale_since_s = now.mono_s
+        waited_s = now.mono_s - self.stale_since_s
+        return waited_s < CONFIG_CONFIRMATION_TIMEOUT_S
+
+    def _release_held(self, now: core.Instant) -> core.Actions:
+        """Forward or refuse what was held, unless it has to wait longer."""
+        if self._awaits_confirmation(now):
+            return []
+        held, self.held = self.held, []
+        actions: core.Actions = []
+        for work_id in held:
+            pending = self.pending.get(work_id)
+            if pending is not None and pending.is_held:
+                actions += self._admit_held(pending, now)
+        return actions
+
+    def _admit_held(
+        self, pending: PendingSubmission, now: core.Instant
+    ) -> core.Actions:
+        pending.is_held = False
+        pending.refusal = self._refusal(pending.submit, now, is_counted=True)
+        if pending.refusal is not None and pending.entry_made:
+            return self._fail(
+                pending, pending.refusal.code, pending.refusal.reason
+            )
+        return self._try_send(pending, now)
+
     # Answers
 
     def _on_answer(
@@ -633,12 +685,17 @@
         )
 
     def _refusal(
-        self, submit: work.Submit, now: core.Instant
+        self,
+        submit: work.Submit,
+        now: core.Instant,
+        *,
+        is_counted: bool = False,
     ) -> errors.WorkError | None:
         """Return a ``NOT_RUN`` error if new work is refused.
 
         An id that the caller chose may have run through another entry, so its
-        owner is asked before the refusal is delivered.
+        owner is asked before the refusal is delivered. ``is_counted`` is set
+        if the submission is one of ``pending`` already.
         """
         if self.config.version == 0:
             return _not_run(
@@ -651,7 +708,7 @@
                 "this entry cannot confirm that its configuration is the "
                 "newest; use another entry",
             )
-        if len(self.pending) >= self.max_pending:
+        if len(self.pending) - is_counted >= self.max_pending:
             return _not_run(
                 errors.Code.RESOURCE_EXHAUSTED,
                 f"this entry holds {self.max_pending} submissions; retry "
--- a/src/_jasminewind/nodes/entry.py
+++ b/src/_jasminewind/nodes/entry.py
@@ -215,7 +215,12 @@
         if self.config().version == 0:
             reason = "it has no configuration yet"
         elif not self.config_sync.is_fresh(self.timers.now()):
-            reason = "neither the table nor other entries answer it"
+            return backend.Readiness(
+                ready=False,
+                reason="neither the table nor other entries answer it",
+                accepts_work=True,
+                confirmed=False,
+            )
         elif self.is_leaving:
             return backend.Readiness(
                 ready=False, reason="it is shutting down", accepts_work=True
--- a/testing/api/test_submit.py
+++ b/testing/api/test_submit.py
@@ -237,6 +237,22 @@
     assert api.backend.submitted == []
 
 
+def test_entry_that_awaits_a_confirmation_holds_valid_work_only(api, job):
+    """Guards against refusals of an entry that was paused for a moment.
+
+    Input that its configuration does not know may be valid in a newer one.
+    """
+    api.backend.readiness = backends.Readiness(
+        ready=False, reason="stale", accepts_work=True, confirmed=False
+    )
+    api.call(SUBMIT, job)
+    assert len(api.backend.submitted) == 1
+    job["tasks"][0]["method"] = "no-such-method"
+    response = api.call(SUBMIT, job).response
+    assert response.status == 503
+    assert response.failure.outcome == errors_pb2.NOT_RUN
+
+
 @pytest.mark.parametrize(
     ("state", "may_have_run", "outcome"),
     [
--- a/testing/nodes/test_entry.py
+++ b/testing/nodes/test_entry.py
@@ -71,3 +71,22 @@
     report_owner(entry)
     entry.submit(submission(entry))
     assert [message.join_only for message in sent] == [False]
+
+
+def test_an_entry_that_was_paused_forwards_what_waited(entry, clock):
+    """Guards against refusals after a pause of 2 s.
+
+    Pattern: under load the confirmation of the configuration is out of date
+    when the entry reads the calls that arrived meanwhile.
+    """
+    sent = record_sends(entry)
+    clock.run(1.0)
+    report_owner(entry)
+    entry.table.clock = clock
+    clock.advance(2.5)
+    readiness = entry.is_ready()
+    assert (readiness.ready, readiness.accepts_work) == (False, True)
+    entry.submit(submission(entry))
+    assert sent == []
+    clock.run(0.3)
+    assert [message.join_only for message in sent] == [False]
