Keep an id that an entry refused from starting when a copy arrives late

What callers could see: NOT_RUN, which promises that the work "was not started and will not be", for a submission that ran afterwards.

Cause: before an entry refuses an id that the caller chose, because of its input or because the entry takes no work, it asks the owner for the state of the id. The reply "unknown, in my interval" was true when it was sent and recorded nothing. A first copy that is still under way through another entry, whose caller has lost its connection, was accepted afterwards.

Ruled out: the relay's own refusals. It asks with join_only, and the owner records the refusal.

QueryWork has refuse_unknown, which an entry sets before a refusal: the owner records the refusal as it does for join_only, and says "may have run" if it cannot. Queries of followers record nothing, because a detached job is followed while it is under way. Owners of an earlier version ignore the field and behave as before.

Cost: a record without an answer for each refused id that a caller chose, of which an owner keeps 200,000.

--- a/src/_jasminewind/api/backend.py
+++ b/src/_jasminewind/api/backend.py
@@ -64,8 +64,14 @@
         """Tell the owner that no caller waits for the answer any more."""
 
     @abc.abstractmethod
-    def query(self, work_id: str) -> defer.Deferred[work.WorkStatus]:
-        """Fire with the state; ``UNKNOWN`` if no process knows the id."""
+    def query(
+        self, work_id: str, *, refuse_unknown: bool = False
+    ) -> defer.Deferred[work.WorkStatus]:
+        """Fire with the state; ``UNKNOWN`` if no process knows the id.
+
+        With ``refuse_unknown``, an id that is ``UNKNOWN`` and not said to
+        possibly have run will not run later either.
+        """
 
     @abc.abstractmethod
     def explain(self, work_id: str) -> defer.Deferred[work.ExplainReply]:
--- a/src/_jasminewind/api/submissions.py
+++ b/src/_jasminewind/api/submissions.py
@@ -77,13 +77,16 @@
         """Return ``error`` with the outcome that is true for the id.
 
         An earlier submission with the same id may have been accepted, for
-        example before its team was removed; NOT_RUN would then be wrong.
+        example before its team was removed, or be under way through another
+        entry; NOT_RUN would then be wrong.
         """
         if not client_id:
             return error
         # Callers may send an id in upper case; owners use its canonical form.
         client_id = ids.parse(client_id).unwrap_or(client_id)
-        status = await self.query(client_id, REFUSAL_QUERY_TIMEOUT_S)
+        status = await self.query(
+            client_id, REFUSAL_QUERY_TIMEOUT_S, refuse_unknown=True
+        )
         if isinstance(status, result.Ok):
             known = status.ok_value.state is not work.WorkState.UNKNOWN
             if not known and not status.ok_value.may_have_run:
@@ -170,10 +173,14 @@
             )
         )
 
-    async def query(self, work_id: str, timeout_s: float) -> QueryResult:
-        """Return the state of a job or a request."""
+    async def query(
+        self, work_id: str, timeout_s: float, *, refuse_unknown: bool = False
+    ) -> QueryResult:
+        """Return the state of a job or a request; see ``Backend.query``."""
         try:
-            pending = self.backend.query(work_id)
+            pending = self.backend.query(
+                work_id, refuse_unknown=refuse_unknown
+            )
             status = await calls.with_timeout(self.clock, pending, timeout_s)
         except defer.CancelledError:
             raise
--- a/src/_jasminewind/decisions/coordinator.py
+++ b/src/_jasminewind/decisions/coordinator.py
@@ -605,6 +605,18 @@
         elif message.work_id in self.pending:
             state = work.WorkState.QUEUED
             total = len(self.pending[message.work_id].submit.tasks)
+        may_have_run = False
+        actions: core.Actions = []
+        if state is work.WorkState.UNKNOWN:
+            check = self.ownership.check_id(message.work_id, now)
+            # Only this process can have accepted an id in its interval.
+            may_have_run = check.kind is not id_checks.IdCheckKind.ACCEPT
+            if message.refuse_unknown and not may_have_run:
+                error = unavailable_error("an entry has refused this id")
+                may_have_run = not self.store.refuse(
+                    message.work_id, error, shard=check.shard, now=now
+                )
+                actions = [refusal_decision(message.work_id, error)]
         status = work.WorkStatus(
             work_id=message.work_id,
             query_id=message.query_id,
@@ -612,17 +624,9 @@
             tasks_total=total,
             tasks_done=done,
             answer=answer,
-            may_have_run=(
-                state is work.WorkState.UNKNOWN
-                and not self.is_in_interval(message.work_id, now)
-            ),
+            may_have_run=may_have_run,
         )
-        return [self.reply(sender, status)]
-
-    def is_in_interval(self, work_id: str, now: core.Instant) -> bool:
-        """Tell whether only this process can have accepted an id."""
-        check = self.ownership.check_id(work_id, now)
-        return check.kind is id_checks.IdCheckKind.ACCEPT
+        return [*actions, self.reply(sender, status)]
 
     # Messages from executors
 
--- a/src/_jasminewind/decisions/relay.py
+++ b/src/_jasminewind/decisions/relay.py
@@ -261,16 +261,32 @@
         return actions
 
     def query(
-        self, ticket: int, work_id: str, now: core.Instant
+        self,
+        ticket: int,
+        work_id: str,
+        now: core.Instant,
+        *,
+        refuse_unknown: bool = False,
     ) -> core.Actions:
-        """Ask the owner of an id for its state."""
-        return self._ask(ticket, work_id, now, explain=False)
+        """Ask the owner of an id for its state.
+
+        ``refuse_unknown`` also lets the owner refuse an id that is unknown.
+        """
+        message = work.QueryWork(
+            work_id=work_id,
+            query_id=self._new_query_id(),
+            refuse_unknown=refuse_unknown,
+        )
+        return self._ask(ticket, message, now)
 
     def explain(
         self, ticket: int, work_id: str, now: core.Instant
     ) -> core.Actions:
         """Ask the owner of an id for its decisions on it."""
-        return self._ask(ticket, work_id, now, explain=True)
+        message = work.ExplainRequest(
+            work_id=work_id, query_id=self._new_query_id()
+        )
+        return self._ask(ticket, message, now)
 
     def forget(self, ticket: int) -> None:
         """Drop a disconnected caller; its work keeps running."""
@@ -741,23 +757,27 @@
 
     # Queries about work
 
-    def _ask(
-        self, ticket: int, work_id: str, now: core.Instant, *, explain: bool
-    ) -> core.Actions:
+    def _new_query_id(self) -> int:
         query_id = self.next_query_id
         self.next_query_id += 1
+        return query_id
+
+    def _ask(
+        self,
+        ticket: int,
+        message: work.QueryWork | work.ExplainRequest,
+        now: core.Instant,
+    ) -> core.Actions:
         query = Query(
             ticket=ticket,
-            work_id=work_id,
+            work_id=message.work_id,
             expires_s=now.mono_s + QUERY_TIMEOUT_S,
-            explain=explain,
+            explain=isinstance(message, work.ExplainRequest),
         )
-        owner = self._reachable_owner(work_id)
+        owner = self._reachable_owner(message.work_id)
         if owner is None or len(self.queries) >= MAX_QUERIES:
-            return [self._unknown_reply(query_id, query)]
-        self.queries[query_id] = query
-        message_type = work.ExplainRequest if explain else work.QueryWork
-        message = message_type(work_id=work_id, query_id=query_id)
+            return [self._unknown_reply(message.query_id, query)]
+        self.queries[message.query_id] = query
         return [
             core.Send(to=owner.owner, address=owner.address, message=message)
         ]
--- a/src/_jasminewind/messages/work.py
+++ b/src/_jasminewind/messages/work.py
@@ -107,10 +107,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class QueryWork:
-    """Ask an owner for the state of a job or a request."""
+    """Ask an owner for the state of a job or a request.
+
+    With ``refuse_unknown`` an id of which nothing has arrived is refused from
+    then on. The sender may say that it was not run, because a copy that is
+    still under way is refused too.
+    """
 
     work_id: str
     query_id: int
+    refuse_unknown: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/_jasminewind/nodes/entry.py
+++ b/src/_jasminewind/nodes/entry.py
@@ -152,10 +152,14 @@
         actions = self.relay.cancel(work_id, self.timers.now())
         self.perform(self.relay, actions)
 
-    def query(self, work_id: str) -> defer.Deferred[work.WorkStatus]:
+    def query(
+        self, work_id: str, *, refuse_unknown: bool = False
+    ) -> defer.Deferred[work.WorkStatus]:
         """Fire with the state of a job or a request."""
         return self._call(
-            lambda ticket, now: self.relay.query(ticket, work_id, now)
+            lambda ticket, now: self.relay.query(
+                ticket, work_id, now, refuse_unknown=refuse_unknown
+            )
         )
 
     def explain(self, work_id: str) -> defer.Deferred[work.ExplainReply]:
--- a/testing/api/conftest.py
+++ b/testing/api/conftest.py
@@ -74,7 +74,8 @@
     def cancel(self, work_id):
         self.cancelled.append(work_id)
 
-    def query(self, work_id):
+    def query(self, work_id, *, refuse_unknown=False):
+        del refuse_unknown
         self.queried.append(work_id)
         if self.status is None:
             status = work.WorkStatus(
--- a/testing/decisions/test_coordinator.py
+++ b/testing/decisions/test_coordinator.py
@@ -371,3 +371,51 @@
     second = unconfirmed.submit()
     assert unconfirmed.answer(second).error.outcome == Outcome.NOT_RUN
     assert not unconfirmed.undelivered
+
+
+def query(harness, work_id, **fields):
+    """Ask for the state of an id and return the reply."""
+    message = work.QueryWork(work_id=work_id, query_id=1, **fields)
+    harness.receive(conftest.ENTRY, message)
+    return harness.sent[-1].message
+
+
+def test_an_id_that_an_entry_refuses_is_not_accepted_later(harness):
+    """Guards against a start after an entry has said that nothing was run."""
+    work_id = harness.new_id()
+    status = query(harness, work_id, refuse_unknown=True)
+    assert (status.state, status.may_have_run) == (
+        work.WorkState.UNKNOWN,
+        False,
+    )
+    harness.submit(work_id=work_id, sender=conftest.OTHER_ENTRY)
+    error = harness.answer(work_id, conftest.OTHER_ENTRY).error
+    assert error.outcome == Outcome.NOT_RUN
+    assert not harness.undelivered
+
+
+def test_a_query_of_an_unknown_id_does_not_refuse_it(harness):
+    """Guards against a follower that keeps its job from being accepted."""
+    work_id = harness.new_id()
+    assert query(harness, work_id).state is work.WorkState.UNKNOWN
+    harness.submit(work_id=work_id)
+    harness.finish()
+    assert harness.answer(work_id).state == work.WorkState.COMPLETE
+
+
+def test_a_refusal_that_cannot_be_recorded_may_have_run(harness):
+    """Guards against NOT_RUN without a record that prevents a later start."""
+    harness.coordinator.store.max_refusals = 0
+    status = query(harness, harness.new_id(), refuse_unknown=True)
+    assert status.may_have_run
+
+
+@pytest.mark.parametrize(
+    "kind", [k for k in id_checks.IdCheckKind if k.value != "accept"]
+)
+def test_an_id_outside_the_interval_is_not_refused(harness, kind):
+    """Guards against NOT_RUN for an id that another process may accept."""
+    harness.ownership.kind = kind
+    status = query(harness, harness.new_id(), refuse_unknown=True)
+    assert status.may_have_run
+    assert not harness.coordinator.store.records
