Tell a refused first submission from a resubmission that may have run

What callers saw: `jasminewind call` with an unknown method ended with exit code 4, "may have run", where docs/cli.md documents 2, "nothing was run".

Cause: an entry cannot know by itself that an id which a caller chose is new, and asks the owner. While the shard of the id is between two owners, or its owner has just left, nobody can tell, and the outcome is MAY_HAVE_RUN. The command line made the id a moment before and sent it once, so that it knows what the entry does not, but the reply did not say that the entry's doubt was about an earlier submission only.

FailureDetail has not_run_if_first: this submission was refused and is not run, and only an earlier one with the same id may have been. The API sets it where an earlier submission cannot be ruled out, and the relay for refusals whose owner does not answer and for those of an entry that holds too many submissions. The command line adds what it knows: an id that it made itself was sent once, so that the exit code is 2 or 3; with --id or an id in the file it stays 4.

Ruled out: a longer timeout, since nothing was late and a refusal should arrive within 50 ms; what an entry knows without the owner, since a configuration that is up to 2 s older than another entry's and the time in an id, which is the caller's clock, prove nothing about earlier submissions; a mark in the request that the id is new, since the outcome is the same and older entries would refuse the field.

A balancer that sends a call twice makes two submissions of one, also without an id; docs/operating.md says that it must not.

Tests: test_main.py (exit codes), test_submit.py, test_relay.py; they fail without the change.

--- a/src/_jasminewind/api/connect.py
+++ b/src/_jasminewind/api/connect.py
@@ -77,6 +77,7 @@
     outcome: errors.Outcome = errors.Outcome.NOT_RUN,
     field: str = "",
     work_id: str = "",
+    not_run_if_first: bool = False,
 ) -> CallError:
     """Return an error with a ``FailureDetail``.
 
@@ -88,6 +89,7 @@
         reason=reason,
         work_id=work_id,
         field=field,
+        not_run_if_first=not_run_if_first,
     )
     text = f"{field}: {reason}" if field else reason
     return CallError(code=code, message=text, details=(detail,))
--- a/src/_jasminewind/api/submissions.py
+++ b/src/_jasminewind/api/submissions.py
@@ -102,10 +102,16 @@
             error,
             client_id,
             "an earlier submission with this id cannot be ruled out",
+            not_run_if_first=True,
         )
 
     def as_may_have_run(
-        self, error: connect.CallError, work_id: str, note: str
+        self,
+        error: connect.CallError,
+        work_id: str,
+        note: str,
+        *,
+        not_run_if_first: bool = False,
     ) -> connect.CallError:
         """Return ``error`` with the outcome ``MAY_HAVE_RUN`` and a note."""
         changed = connect.failure(
@@ -113,6 +119,7 @@
             code=error.code,
             outcome=errors.Outcome.MAY_HAVE_RUN,
             work_id=work_id,
+            not_run_if_first=not_run_if_first,
         )
         return dataclasses.replace(changed, http_status=error.http_status)
 
@@ -253,4 +260,5 @@
         code=error.code,
         outcome=error.outcome,
         work_id=answer.work_id,
+        not_run_if_first=error.not_run_if_first,
     )
--- a/src/_jasminewind/cli/client.py
+++ b/src/_jasminewind/cli/client.py
@@ -65,11 +65,13 @@
         *,
         timeout_s: float,
         hint: str = "",
+        is_first: bool = False,
     ) -> Body:
         """Call ``Service/Method`` and return the response body.
 
         ``hint`` tells the user what to do if the response is lost. Without
         it the call is read-only, and a lost response counts as unreachable.
+        ``is_first`` is set when no earlier call had the id in ``body``.
         """
         connection = self.connect()
         try:
@@ -93,9 +95,11 @@
             ) from None
         finally:
             connection.close()
-        return self.parse_response(status, text, hint)
+        return self.parse_response(status, text, hint, is_first=is_first)
 
-    def parse_response(self, status: int, text: bytes, hint: str) -> Body:
+    def parse_response(
+        self, status: int, text: bytes, hint: str, *, is_first: bool = False
+    ) -> Body:
         """Return the response body, or raise the error that it reports."""
         try:
             body = json.loads(text)
@@ -110,8 +114,12 @@
                 hint,
             )
         message = str(body.get("message", ""))
+        if is_first and outcomes.is_not_run_if_first(body):
+            message += "; this id is new, so nothing was run"
         raise outcomes.CommandError(
-            outcomes.exit_code(body), f"{body['code']}: {message}", body
+            outcomes.exit_code(body, is_first=is_first),
+            f"{body['code']}: {message}",
+            body,
         )
 
 
--- a/src/_jasminewind/cli/context.py
+++ b/src/_jasminewind/cli/context.py
@@ -69,10 +69,15 @@
         *,
         timeout_s: float = READ_TIMEOUT_S,
         hint: str = "",
+        is_first: bool = False,
     ) -> Body:
         """Call the API; see :meth:`client.Client.call`."""
         return client.Client(self.entry).call(
-            method, body or {}, timeout_s=timeout_s, hint=hint
+            method,
+            body or {},
+            timeout_s=timeout_s,
+            hint=hint,
+            is_first=is_first,
         )
 
     def show(
--- a/src/_jasminewind/cli/jobs.py
+++ b/src/_jasminewind/cli/jobs.py
@@ -36,10 +36,13 @@
 class Submission(threading.Thread):
     """Submits a job in a thread, so that its progress can be shown."""
 
-    def __init__(self, shared_context: context.Context, body: Body) -> None:
+    def __init__(
+        self, shared_context: context.Context, body: Body, *, is_first: bool
+    ) -> None:
         super().__init__(daemon=True)
         self.context = shared_context
         self.body = body
+        self.is_first = is_first
         self.answer: Body | None = None
         self.error: outcomes.CommandError | None = None
 
@@ -51,6 +54,7 @@
                 self.body,
                 timeout_s=deadline_s(self.body),
                 hint=resubmit_hint(self.body["id"]),
+                is_first=self.is_first,
             )
         except outcomes.CommandError as e:
             self.error = e
@@ -81,31 +85,33 @@
             detach: Return once the job is accepted; see `job follow`.
         """
         body = context.read_json_object(file)
-        body["id"] = id or body.get("id") or context.new_id()
+        given_id = id or body.get("id")
+        body["id"] = given_id or context.new_id()
         if context.parse_bool("detach", detach):
             body["detach"] = True
         if not self._context.is_json:
             output.print_error(f"id: {body['id']}")
         if body.get("detach"):
-            self._submit_detached(body)
+            self._submit_detached(body, is_first=not given_id)
         else:
-            self._submit_and_wait(body)
+            self._submit_and_wait(body, is_first=not given_id)
 
-    def _submit_detached(self, body: Body) -> None:
+    def _submit_detached(self, body: Body, *, is_first: bool) -> None:
         """Submit a job and print its state once it is accepted."""
         answer = self._context.call(
             "JobService/SubmitJob",
             body,
             timeout_s=deadline_s(body),
             hint=resubmit_hint(body["id"]),
+            is_first=is_first,
         )
         self._context.show(
             answer, lambda: f"{answer['id']} {answer['state'].lower()}"
         )
 
-    def _submit_and_wait(self, body: Body) -> None:
+    def _submit_and_wait(self, body: Body, *, is_first: bool) -> None:
         """Submit a job, show its progress, and print its answer."""
-        submission = Submission(self._context, body)
+        submission = Submission(self._context, body, is_first=is_first)
         progress = output.Progress()
         submission.start()
         try:
--- a/src/_jasminewind/cli/main.py
+++ b/src/_jasminewind/cli/main.py
@@ -109,6 +109,7 @@
                 timeout_s if 0 < timeout_s < 1e6 else DEFAULT_CALL_DEADLINE_S
             ),
             hint=jobs.resubmit_hint(work_id),
+            is_first=not id,
         )
         self._context.show(body, lambda: output.format_result(body))
 
--- a/src/_jasminewind/cli/outcomes.py
+++ b/src/_jasminewind/cli/outcomes.py
@@ -56,12 +56,23 @@
     return {}
 
 
-def exit_code(body: dict[str, typing.Any]) -> ExitCode:
+def is_not_run_if_first(body: dict[str, typing.Any]) -> bool:
+    """Return whether only an earlier submission of the id may have run."""
+    return bool(failure_detail(body).get("notRunIfFirst"))
+
+
+def exit_code(
+    body: dict[str, typing.Any], *, is_first: bool = False
+) -> ExitCode:
     """Return the exit code for the error body of a response.
 
-    If neither the outcome nor the code tells, the work may have run.
+    ``is_first`` is set when the command made the id of the submission and
+    sent it once, which excludes an earlier submission. If neither the outcome
+    nor the code tells, the work may have run.
     """
     outcome = failure_detail(body).get("outcome")
+    if is_first and is_not_run_if_first(body):
+        outcome = "NOT_RUN"
     if outcome in ("FAILED_WHILE_RUNNING", "MAY_HAVE_RUN"):
         return ExitCode[outcome]
     if body.get("code") in BAD_INPUT_CODES:
--- a/src/_jasminewind/decisions/relay.py
+++ b/src/_jasminewind/decisions/relay.py
@@ -656,7 +656,18 @@
         outcome = errors.Outcome.MAY_HAVE_RUN
         if pending.never_ran():
             outcome = errors.Outcome.NOT_RUN
-        error = errors.WorkError(code=code, outcome=outcome, reason=reason)
+        error = errors.WorkError(
+            code=code,
+            outcome=outcome,
+            reason=reason,
+            # The copies of a refused submission only asked for a record. An
+            # answer with missing outputs shows that there is one.
+            not_run_if_first=(
+                outcome is errors.Outcome.MAY_HAVE_RUN
+                and pending.refusal is not None
+                and code is not errors.Code.INTERNAL
+            ),
+        )
         answer = work.Answer(
             work_id=pending.submit.work_id,
             state=work.WorkState.FAILED,
@@ -892,6 +903,7 @@
             f"{refusal.reason}; an earlier submission with this id cannot "
             "be ruled out"
         ),
+        not_run_if_first=True,
     )
 
 
--- a/src/_jasminewind/errors.py
+++ b/src/_jasminewind/errors.py
@@ -39,11 +39,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class WorkError:
-    """Why a submission did not complete, as the caller sees it."""
+    """Why a submission did not complete, as the caller sees it.
+
+    ``not_run_if_first`` qualifies ``MAY_HAVE_RUN``: this submission was not
+    run, only an earlier one with the same id may have been.
+    """
 
     code: Code
     outcome: Outcome
     reason: str
+    not_run_if_first: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/testing/api/test_submit.py
+++ b/testing/api/test_submit.py
@@ -290,6 +290,38 @@
     assert connection.response.failure.outcome == errors_pb2.MAY_HAVE_RUN
 
 
+@pytest.mark.parametrize(
+    ("status", "not_run_if_first"),
+    [
+        (defer.Deferred(), True),
+        (work.WorkState.UNKNOWN, True),
+        (work.WorkState.RUNNING, False),
+        (work.WorkState.COMPLETE, False),
+    ],
+)
+def test_refusal_tells_what_is_known_of_this_submission(
+    api, request_body, status, not_run_if_first
+):
+    """Guards against a caller that cannot tell its one refused call failed.
+
+    An unknown method is refused while the owner of the id is slow, cannot
+    tell, or knows an earlier submission.
+    """
+    request_body["id"] = api.new_id()
+    request_body["method"] = "no-such-method"
+    api.backend.status = status
+    if isinstance(status, work.WorkState):
+        api.backend.status = status_reply(
+            status, request_body["id"], may_have_run=True
+        )
+    connection = api.call("RequestService/Call", request_body)
+    api.clock.advance(submissions.REFUSAL_QUERY_TIMEOUT_S)
+    failure = connection.response.failure
+    assert failure.outcome == errors_pb2.MAY_HAVE_RUN
+    assert failure.not_run_if_first is not_run_if_first
+    assert api.backend.submitted == []
+
+
 def test_detached_job_returns_when_its_owner_knows_it(api, job):
     """Guards against confirming a job that no process knows."""
     job["detach"] = True
--- a/testing/cli/conftest.py
+++ b/testing/cli/conftest.py
@@ -34,9 +34,12 @@
         """
         self.replies[method] = list(replies)
 
-    def script_error(self, method, code, outcome, status=400):
-        """Answer every call of ``method`` with an error."""
-        detail = {"outcome": outcome, "reason": "why"}
+    def script_error(self, method, code, outcome, status=400, **fields):
+        """Answer every call of ``method`` with an error.
+
+        ``fields`` are added to its ``FailureDetail``.
+        """
+        detail = {"outcome": outcome, "reason": "why", **fields}
         body = {
             "code": code,
             "message": "team: why",
--- a/testing/cli/test_main.py
+++ b/testing/cli/test_main.py
@@ -12,6 +12,7 @@
 EXAMPLES = pathlib.Path(__file__).resolve().parents[2] / "examples"
 SUBMIT = "JobService/SubmitJob"
 GET = "JobService/GetJob"
+CALL = "RequestService/Call"
 PROPOSE = "ConfigService/ProposeChange"
 WORK_ID = "01a24052-d8a9-76bd-8cca-3aec1972b152"
 COMPLETE = {
@@ -109,6 +110,42 @@
     assert json.loads(result.err)["exitCode"] == exit_code
 
 
+@pytest.mark.parametrize(
+    ("code", "exit_code"),
+    [("invalid_argument", 2), ("resource_exhausted", 3)],
+)
+def test_refusal_of_a_new_id_is_definite(
+    entry, run, job_file, code, exit_code
+):
+    """Guards against "may have run" for work that was sent once and refused.
+
+    The entry cannot exclude an earlier submission with the id. The command
+    can if it made the id.
+    """
+    call = ("call", "hutch-orders", "quote", "--team", "crew-desk")
+    for method, command in (
+        (SUBMIT, ("job", "submit", job_file)),
+        (CALL, call),
+    ):
+        entry.script_error(method, code, "MAY_HAVE_RUN", notRunIfFirst=True)
+        result = run(*command)
+        assert result.exit_code == exit_code
+        assert "this id is new, so nothing was run" in result.err
+        assert run(*command, "--id", WORK_ID).exit_code == 4
+        entry.script_error(method, code, "MAY_HAVE_RUN")
+        assert run(*command).exit_code == 4
+
+
+def test_refusal_of_the_id_in_a_job_file_may_have_run(entry, run, job_file):
+    """Guards against "not run" for a job that a file names and resubmits."""
+    job = json.loads(job_file.read_text())
+    job_file.write_text(json.dumps({**job, "id": WORK_ID}))
+    entry.script_error(
+        SUBMIT, "invalid_argument", "MAY_HAVE_RUN", notRunIfFirst=True
+    )
+    assert run("job", "submit", job_file).exit_code == 4
+
+
 @pytest.mark.parametrize("reply", [NO_RESPONSE, (502, b"<html>bad</html>")])
 def test_lost_response_may_have_run_and_is_not_retried(
     entry, run, job_file, reply
--- a/testing/decisions/test_relay.py
+++ b/testing/decisions/test_relay.py
@@ -384,6 +384,54 @@
     assert not sends(entry.submit(4, entry_made=True)[1])
 
 
+def test_refusal_without_an_owner_tells_that_this_copy_did_not_run() -> None:
+    """Guards against a caller that must resubmit what was never forwarded.
+
+    The entry is stale, and the owner of the id does not answer.
+    """
+    entry = Entry()
+    entry.freshness.is_confirmed = False
+    entry.submit(1)
+    (lookup,) = sends(entry.relay.on_tick(instant(1.5)))
+    assert isinstance(lookup.message, work.Submit)
+    assert lookup.message.join_only
+    error = failure(entry.relay.on_tick(instant(31.0)))
+    assert error.outcome is errors.Outcome.MAY_HAVE_RUN
+    assert error.not_run_if_first
+
+
+def test_entry_that_cannot_ask_tells_that_this_copy_did_not_run() -> None:
+    """Guards against a caller that must resubmit what was never forwarded."""
+    entry = Entry(max_pending=1)
+    entry.submit(1)
+    error = failure(entry.submit(2)[1])
+    assert error.outcome is errors.Outcome.MAY_HAVE_RUN
+    assert error.not_run_if_first
+
+
+def test_a_record_with_missing_outputs_is_not_called_not_run_if_first() -> (
+    None
+):
+    """Guards against "not run" for an id that has a record."""
+    entry = Entry()
+    entry.freshness.is_confirmed = False
+    work_id, _ = entry.submit(1)
+    entry.relay.on_tick(instant(1.5))
+    partial = work.Answer(work_id=work_id, state=work.WorkState.COMPLETE)
+    error = failure(entry.relay.on_message(OWNER.node, partial, instant(2)))
+    assert error.outcome is errors.Outcome.MAY_HAVE_RUN
+    assert not error.not_run_if_first
+
+
+def test_work_that_was_forwarded_is_not_called_not_run_if_first() -> None:
+    """Guards against "not run" for work whose owner does not answer."""
+    entry = Entry()
+    entry.submit(1)
+    error = failure(entry.relay.on_tick(instant(31.0)))
+    assert error.outcome is errors.Outcome.MAY_HAVE_RUN
+    assert not error.not_run_if_first
+
+
 def test_id_far_ahead_is_refused_as_not_run() -> None:
     """Guards against an id that no owner can accept."""
     entry = Entry()
