Accept late ids of closed intervals for 2 s before an agent exits

At 28.306 the submission arrives there and gets MAY_HAVE_RUN; at 28.370 the agent has stopped, 0.11 s after it was told to.

Cause: nobody but the leaving owner may ever start an id of its interval, and it stayed only as long as it had work. An id that is below the newest one that it accepted and arrives after that is lost, although it is known by everyone involved not to have run.

The agent now closes its coordinator, hands over and exits no sooner than 2 s after it was told to leave; until then late ids of its intervals are accepted and run. New ids go to the new owner at once, as before. 2 s is more than the 1.5 s for which an entry holds a submission. An agent that holds no interval exits without delay.

Ruled out: NOT_RUN in place of MAY_HAVE_RUN, which would be true but would still fail work that can run; a lower floor for the new owner, since it cannot know which ids below it have run.

Cost: a replacement of a coordinator takes up to 2 s longer. Later ids still get MAY_HAVE_RUN.

Test: test_a_leaving_agent_accepts_an_id_that_was_under_way fails without the change.

--- a/src/_jasminewind/decisions/ownership.py
+++ b/src/_jasminewind/decisions/ownership.py
@@ -193,6 +193,10 @@
             self.transfers.has_transferred_shards() and not self.claims.writes
         )
 
+    def holds_intervals(self) -> bool:
+        """Return whether only this process can accept some ids."""
+        return bool(self.owned_shards.current or self.owned_shards.ended)
+
     def has_left(self) -> bool:
         """Return whether every shard and every record was transferred."""
         return self.transfers.has_left() and not self.claims.writes
--- a/src/_jasminewind/nodes/agent.py
+++ b/src/_jasminewind/nodes/agent.py
@@ -25,6 +25,9 @@
 from _jasminewind.platform import client
 
 REFRESH_PERIOD_S = 0.2
+# A leaving agent accepts late ids of its intervals for this long, because no
+# other process may start them. An entry may hold a submission for 1.5 s.
+LATE_SUBMISSION_GRACE_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -98,6 +101,7 @@
         )
         self.notified_view: tuple[members.Member, ...] = ()
         self.is_leaving = False
+        self.leaving_since_s = 0.0
         self.is_handing_over = False
         self.unneeded_results = 0
         self.handlers[core.StartOnEndpoint] = self.endpoint.start
@@ -180,6 +184,7 @@
             return
         self.is_leaving = True
         now = self.timers.now()
+        self.leaving_since_s = now.mono_s
         self.perform(self.executor, self.executor.begin_drain(now))
         self.perform(self.ownership, self.ownership.begin_leave(now))
         self.perform(self.membership, self.membership.begin_leave(now))
@@ -263,6 +268,10 @@
         """Send finished answers to the new owners once no work is left."""
         if not self.is_leaving or self.is_handing_over:
             return
+        left_s = now.mono_s - self.leaving_since_s
+        if left_s < LATE_SUBMISSION_GRACE_S:
+            if self.ownership.holds_intervals():
+                return
         if self.coordinator.has_work():
             return
         if not self.ownership.has_transferred_shards():
--- a/testing/nodes/test_agent.py
+++ b/testing/nodes/test_agent.py
@@ -1,13 +1,16 @@
 """Tests of the agent: how its state machines are wired together."""
 
 import dataclasses
+import random
 
+from _jasminewind import ids
 from _jasminewind import members
 from _jasminewind import metrics
 from _jasminewind import resources
 from _jasminewind.decisions import core
 from _jasminewind.messages import membership
 from _jasminewind.messages import tasks
+from _jasminewind.messages import work
 from testing import starts
 from testing.decisions import fakes
 
@@ -85,6 +88,36 @@
     assert agent.is_idle()
 
 
+def test_a_leaving_agent_accepts_an_id_that_was_under_way(agent, clock):
+    """Guards against "may have run" for a submission that arrives late.
+
+    Pattern: a submission waits for 1.6 s in an entry that was just replaced,
+    while the owner of its id, which is next, accepts newer ids and leaves.
+    """
+    agent.coordinator.freshness = None
+    clock.run(15.0)
+    rng = random.Random(1)
+    now = agent.timers.now()
+    late_id = ids.new(wall_ms=now.wall_ms - 1_000, rng=rng)
+    newer_ids = [ids.new(wall_ms=now.wall_ms, rng=rng) for _ in range(20)]
+    for work_id in newer_ids:
+        agent.ownership.check_id(work_id, now)
+    agent.begin_shutdown()
+    clock.run(1.5)
+    assert agent.ownership.has_transferred_shards()
+    submit = work.Submit(
+        work_id=late_id,
+        kind=work.WorkKind.REQUEST,
+        team="millers",
+        tasks=(work.Task(name="a", service="orders", method="quote"),),
+        budget_s=5.0,
+        config_version=1,
+    )
+    agent.link_message(ENTRY, submit)
+    assert agent.coordinator.store.find(late_id) is not None
+    assert not agent.is_idle()
+
+
 def test_stop_with_a_link_that_is_being_opened(agent):
     """Guards against a shutdown that fails on a half-open connection."""
     address = members.Address("127.0.0.1", 7100)
