Make a new entry ready once an agent has reported to it

What callers saw: calls through an entry that was just replaced took 1.2 to 1.8 s, while those through the others took some 0.03 s.

Cause: /readyz answered 200 as soon as the configuration was read. Agents learn of a new entry from the registry of entries, by way of the other entries, and report the members and the owners of shards to it 1 to 2 s later. Until then it holds each call.

An entry is ready when it has a complete report of one reporter. It takes work before that, and is ready after 10 s without any report, because operators release shards through the balancer when no agent owns one.

Cost: a new entry joins the balancer up to 2 s later.

Tests: test_an_entry_without_reports_is_not_ready fails without the change; test_an_entry_without_agents_becomes_ready. In two earlier tests the agent reports before the entry is ready, as it now must.

--- a/src/_jasminewind/decisions/directory.py
+++ b/src/_jasminewind/decisions/directory.py
@@ -81,6 +81,10 @@
 
     # Queries
 
+    def has_complete_report(self) -> bool:
+        """Return whether a reporter has sent the members of its cell."""
+        return any(report.complete for report in self.reports.values())
+
     def members(self) -> tuple[processes.Member, ...]:
         """Return the live members of every cell, by name."""
         self._members_by_name()
--- a/src/_jasminewind/nodes/entry.py
+++ b/src/_jasminewind/nodes/entry.py
@@ -33,6 +33,9 @@
 from _jasminewind.platform import client
 
 REFRESH_PERIOD_S = 0.2
+# Agents report to a new entry within about 2 s. Without agents an entry must
+# become ready all the same, because operators reach it through the balancer.
+REPORT_TIMEOUT_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -103,6 +106,8 @@
         self.is_initial_proposed = False
         self.notified_view: tuple[members.Member, ...] = ()
         self.was_fresh = False
+        self.start_s = timer_service.now().mono_s
+        self.was_reported_to = False
         self.handlers[core.ReplyToCaller] = self._reply_to_caller
         self.handlers[proposals.ProposalResult] = self._on_proposal_result
         self.handlers[core.LogDecision] = self._log_decision
@@ -229,6 +234,12 @@
             return backend.Readiness(
                 ready=False, reason="it is shutting down", accepts_work=True
             )
+        elif self._awaits_first_report():
+            return backend.Readiness(
+                ready=False,
+                reason="no agent has reported the owners of the shards to it",
+                accepts_work=True,
+            )
         return backend.Readiness(ready=not reason, reason=reason)
 
     def now(self) -> core.Instant:
@@ -395,6 +406,16 @@
             case result.Err(changes.ConfigUnavailable()):
                 self.is_initial_proposed = False
 
+    def _awaits_first_report(self) -> bool:
+        """Return whether the entry is new and knows no agents yet."""
+        if not self.was_reported_to:
+            passed_s = self.timers.now().mono_s - self.start_s
+            self.was_reported_to = (
+                self.directory.has_complete_report()
+                or passed_s >= REPORT_TIMEOUT_S
+            )
+        return not self.was_reported_to
+
     def _log_freshness(self, now: core.Instant) -> None:
         """Log when the entry begins or ceases to be fresh."""
         is_fresh = self.config_sync.is_fresh(now)
--- a/testing/nodes/test_entry.py
+++ b/testing/nodes/test_entry.py
@@ -66,13 +66,31 @@
     entry.table.fake.mode = fakes.TableMode.OUTAGE
     clock.run(0.5)
     entry.table.fake.mode = fakes.TableMode.OK
+    report_owner(entry)
     while not entry.is_ready().ready:
         clock.advance(0.01)
-    report_owner(entry)
     entry.submit(submission(entry))
     assert [message.join_only for message in sent] == [False]
 
 
+def test_an_entry_without_reports_is_not_ready(entry, clock):
+    """Guards against calls that wait in an entry that knows no owner.
+
+    Pattern: entries are replaced one after the other under load.
+    """
+    clock.run(1.0)
+    readiness = entry.is_ready()
+    assert (readiness.ready, readiness.accepts_work) == (False, True)
+    report_owner(entry)
+    assert entry.is_ready().ready
+
+
+def test_an_entry_without_agents_becomes_ready(entry, clock):
+    """Guards against an entry that operators cannot reach."""
+    clock.run(11.0)
+    assert entry.is_ready().ready
+
+
 def test_an_entry_that_was_paused_forwards_what_waited(entry, clock):
     """Guards against refusals after a pause of 2 s.
 
--- a/testing/nodes/test_refusals.py
+++ b/testing/nodes/test_refusals.py
@@ -52,9 +52,10 @@
 @pytest.fixture
 def chain(entry, clock):
     """Return a ready entry and its only owner."""
+    chain = Chain(entry)
     while not entry.is_ready().ready:
         clock.advance(0.01)
-    return Chain(entry)
+    return chain
 
 
 def test_a_refused_id_does_not_run_when_a_copy_arrives_late(chain):
