--- a/src/_jasminewind/api/backend.py
+++ b/src/_jasminewind/api/backend.py
@@ -18,12 +18,15 @@
     """Result of the readiness check; ``reason`` says why it fails.
 
     An entry that is shutting down is not ready but still ``accepts_work``,
-    because the load balancer sends calls until its next health check.
+    because the load balancer sends calls until its next health check. So
+    does one whose configuration is not ``confirmed``: it holds them for a
+    moment until it is, or refuses them.
     """
 
     ready: bool
     reason: str = ""
     accepts_work: bool = False
+    confirmed: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -61,8 +64,14 @@
         """Tell the owner that no caller waits for the answer any more."""
 
     @abc.abstractmethod
-    def query(self, work_id: str) -> defer.Deferred[work.WorkStatus]:
-        """Fire with the state; ``UNKNOWN`` if no process knows the id."""
+    def query(
+        self, work_id: str, *, refuse_unknown: bool = False
+    ) -> defer.Deferred[work.WorkStatus]:
+        """Fire with the state; ``UNKNOWN`` if no process knows the id.
+
+        With ``refuse_unknown``, an id that is ``UNKNOWN`` and not said to
+        possibly have run will not run later either.
+        """
 
     @abc.abstractmethod
     def explain(self, work_id: str) -> defer.Deferred[work.ExplainReply]:
--- a/src/_jasminewind/api/submissions.py
+++ b/src/_jasminewind/api/submissions.py
@@ -55,7 +55,9 @@
             if refusal.is_permanent:
                 return result.Err(refusal.error)
         readiness = self.backend.is_ready()
-        if not (readiness.ready or readiness.accepts_work):
+        # Input that is refused may be valid in a newer configuration.
+        is_unsure = refusal is not None and not readiness.confirmed
+        if is_unsure or not (readiness.ready or readiness.accepts_work):
             refusal = validation.Refusal(
                 error=connect.failure(
                     f"this entry takes no work: {readiness.reason}; send the "
@@ -75,13 +77,16 @@
         """Return ``error`` with the outcome that is true for the id.
 
         An earlier submission with the same id may have been accepted, for
-        example before its team was removed; NOT_RUN would then be wrong.
+        example before its team was removed, or be under way through another
+        entry; NOT_RUN would then be wrong.
         """
         if not client_id:
             return error
         # Callers may send an id in upper case; owners use its canonical form.
         client_id = ids.parse(client_id).unwrap_or(client_id)
-        status = await self.query(client_id, REFUSAL_QUERY_TIMEOUT_S)
+        status = await self.query(
+            client_id, REFUSAL_QUERY_TIMEOUT_S, refuse_unknown=True
+        )
         if isinstance(status, result.Ok):
             known = status.ok_value.state is not work.WorkState.UNKNOWN
             if not known and not status.ok_value.may_have_run:
@@ -97,10 +102,16 @@
             error,
             client_id,
             "an earlier submission with this id cannot be ruled out",
+            not_run_if_first=True,
         )
 
     def as_may_have_run(
-        self, error: connect.CallError, work_id: str, note: str
+        self,
+        error: connect.CallError,
+        work_id: str,
+        note: str,
+        *,
+        not_run_if_first: bool = False,
     ) -> connect.CallError:
         """Return ``error`` with the outcome ``MAY_HAVE_RUN`` and a note."""
         changed = connect.failure(
@@ -108,6 +119,7 @@
             code=error.code,
             outcome=errors.Outcome.MAY_HAVE_RUN,
             work_id=work_id,
+            not_run_if_first=not_run_if_first,
         )
         return dataclasses.replace(changed, http_status=error.http_status)
 
@@ -168,10 +180,14 @@
             )
         )
 
-    async def query(self, work_id: str, timeout_s: float) -> QueryResult:
-        """Return the state of a job or a request."""
+    async def query(
+        self, work_id: str, timeout_s: float, *, refuse_unknown: bool = False
+    ) -> QueryResult:
+        """Return the state of a job or a request; see ``Backend.query``."""
         try:
-            pending = self.backend.query(work_id)
+            pending = self.backend.query(
+                work_id, refuse_unknown=refuse_unknown
+            )
             status = await calls.with_timeout(self.clock, pending, timeout_s)
         except defer.CancelledError:
             raise
@@ -244,4 +260,5 @@
         code=error.code,
         outcome=error.outcome,
         work_id=answer.work_id,
+        not_run_if_first=error.not_run_if_first,
     )
--- a/src/_jasminewind/decisions/relay.py
+++ b/src/_jasminewind/decisions/relay.py
@@ -26,6 +26,9 @@
 # A copy without a failure or redirect for this long counts as delivered.
 ASSUME_DELIVERED_S = 2.0
 QUERY_TIMEOUT_S = 5.0
+# An entry reads the table every second and asks the other entries every 0.9 s
+# when a read is late, so a lost question is repeated within this time.
+CONFIG_CONFIRMATION_TIMEOUT_S = 1.5
 NEW_ID_DRAWS = 8
 MAX_CLOCK_SKEW_MS = 60_000
 
@@ -42,7 +45,8 @@
     owners are asked for the record that was handed over; ``without_record``
     are those that don't have it. ``refusal`` is why this entry does not take
     the work: the owner is then only asked whether it knows the id, and its
-    answer decides.
+    answer decides. ``is_held`` is set while the entry waits for a confirmation
+    of its configuration; ``refusal`` then applies if none arrives.
     """
 
     submit: work.Submit
@@ -63,6 +67,7 @@
     unreachable_since_s: float | None = None
     asks_later_owner: bool = False
     refusal: errors.WorkError | None = None
+    is_held: bool = False
     without_record: set[members.NodeId] = dataclasses.field(
         default_factory=set
     )
@@ -108,6 +113,7 @@
         member: members.Member,
         directory: directories.Directory,
         rng: random.Random,
+        freshness: core.Freshness | None = None,
         max_pending: int = MAX_PENDING,
     ) -> None:
         self.member = member
@@ -116,7 +122,10 @@
         self.max_pending = max_pending
         self.config = configuration.NO_CONFIGURATION
         self.quotas = quotas.EntryQuotas()
-        self.is_fresh = True
+        self.freshness = freshness
+        # Since when the configuration has been unconfirmed.
+        self.stale_since_s: float | None = None
+        self.held: list[str] = []
         self.pending: dict[str, PendingSubmission] = {}
         self.by_ticket: dict[int, str] = {}
         # Maps the first id that this entry made to its replacement.
@@ -198,22 +207,30 @@
             return []
         refusal = self._reason_never_accepted(submit, now)
         if refusal is not None:
-            return [self._refuse(ticket, submit, refusal)]
+            return self._refuse(ticket, submit, refusal)
         refusal = self._refusal(submit, now)
-        if refusal is not None and (entry_made or not self._can_ask_owner()):
+        is_held = (
+            refusal is not None
+            and self._awaits_confirmation(now)
+            and self._can_ask_owner()
+        )
+        if is_held:
+            self.held.append(submit.work_id)
+        elif refusal is not None and (entry_made or not self._can_ask_owner()):
             if not entry_made:
                 refusal = _as_may_have_run(refusal)
-            return [self._refuse(ticket, submit, refusal)]
+            return self._refuse(ticket, submit, refusal)
         pending = PendingSubmission(
             submit=submit,
             entry_made=entry_made,
             deadline_s=now.mono_s + submit.budget_s,
             tickets=[ticket],
             refusal=refusal,
+            is_held=is_held,
         )
         self._add(pending)
         self.by_ticket[ticket] = submit.work_id
-        return self._try_send(pending, now)
+        return [] if is_held else self._try_send(pending, now)
 
     def cancel(self, work_id: str, now: core.Instant) -> core.Actions:
         """Forward a cancellation to each process that may have the work."""
@@ -244,16 +261,32 @@
         return actions
 
     def query(
-        self, ticket: int, work_id: str, now: core.Instant
+        self,
+        ticket: int,
+        work_id: str,
+        now: core.Instant,
+        *,
+        refuse_unknown: bool = False,
     ) -> core.Actions:
-        """Ask the owner of an id for its state."""
-        return self._ask(ticket, work_id, now, explain=False)
+        """Ask the owner of an id for its state.
+
+        ``refuse_unknown`` also lets the owner refuse an id that is unknown.
+        """
+        message = work.QueryWork(
+            work_id=work_id,
+            query_id=self._new_query_id(),
+            refuse_unknown=refuse_unknown,
+        )
+        return self._ask(ticket, message, now)
 
     def explain(
         self, ticket: int, work_id: str, now: core.Instant
     ) -> core.Actions:
         """Ask the owner of an id for its decisions on it."""
-        return self._ask(ticket, work_id, now, explain=True)
+        message = work.ExplainRequest(
+            work_id=work_id, query_id=self._new_query_id()
+        )
+        return self._ask(ticket, message, now)
 
     def forget(self, ticket: int) -> None:
         """Drop a disconnected caller; its work keeps running."""
@@ -271,10 +304,6 @@
         """Divide team quotas among ``count`` registered entries."""
         self.quotas.entry_count = max(1, count)
 
-    def set_fresh(self, is_fresh: bool) -> None:
-        """Accept new work only while the configuration is fresh."""
-        self.is_fresh = is_fresh
-
     def on_config(
         self, config: configuration.Configuration, now: core.Instant
     ) -> core.Actions:
@@ -325,7 +354,7 @@
     def on_tick(self, now: core.Instant) -> core.Actions:
         """Resend what is due and fail what passed its deadline."""
         self._retry_dead_targets(now)
-        actions: core.Actions = []
+        actions = self._release_held(now)
         while self.retries and self.retries[0][0] <= now.mono_s:
             due_s, work_id = heapq.heappop(self.retries)
             pending = self.pending.get(work_id)
@@ -443,6 +472,8 @@
         actions: core.Actions = [
             core.Send(to=node, address=address, message=submit)
         ]
+        if submit.join_only:
+            actions.append(lookup_decision(pending, node))
         if pending.canceled:
             cancel = work.Cancel(work_id=submit.work_id)
             actions.append(core.Send(to=node, address=address, message=cancel))
@@ -498,6 +529,42 @@
                     pending.note_delivered(now.mono_s)
                     self._retry_at(pending, now.mono_s)
 
+    # Waiting for a confirmed configuration
+
+    def _awaits_confirmation(self, now: core.Instant) -> bool:
+        """Return whether the configuration may still be confirmed in time."""
+        is_fresh = self.freshness is None or self.freshness.is_fresh(now)
+        if is_fresh or self.config.version == 0:
+            self.stale_since_s = None
+            return False
+        if self.stale_since_s is None:
+            self.stale_since_s = now.mono_s
+        waited_s = now.mono_s - self.stale_since_s
+        return waited_s < CONFIG_CONFIRMATION_TIMEOUT_S
+
+    def _release_held(self, now: core.Instant) -> core.Actions:
+        """Forward or refuse what was held, unless it has to wait longer."""
+        if self._awaits_confirmation(now):
+            return []
+        held, self.held = self.held, []
+        actions: core.Actions = []
+        for work_id in held:
+            pending = self.pending.get(work_id)
+            if pending is not None and pending.is_held:
+                actions += self._admit_held(pending, now)
+        return actions
+
+    def _admit_held(
+        self, pending: PendingSubmission, now: core.Instant
+    ) -> core.Actions:
+        pending.is_held = False
+        pending.refusal = self._refusal(pending.submit, now, is_counted=True)
+        if pending.refusal is not None and pending.entry_made:
+            return self._fail(
+                pending, pending.refusal.code, pending.refusal.reason
+            )
+        return self._try_send(pending, now)
+
     # Answers
 
     def _on_answer(
@@ -519,6 +586,8 @@
         elif pending.refusal is not None and _is_not_run(answer):
             # The owner has confirmed that the id did not run.
             answer = dataclasses.replace(answer, error=pending.refusal)
+            refusal = failure_decision(answer.work_id, pending.refusal)
+            return [refusal, *self._finish(pending, answer)]
         return self._finish(pending, answer)
 
     def _on_redirect(
@@ -587,13 +656,25 @@
         outcome = errors.Outcome.MAY_HAVE_RUN
         if pending.never_ran():
             outcome = errors.Outcome.NOT_RUN
-        error = errors.WorkError(code=code, outcome=outcome, reason=reason)
+        error = errors.WorkError(
+            code=code,
+            outcome=outcome,
+            reason=reason,
+            # The copies of a refused submission only asked for a record. An
+            # answer with missing outputs shows that there is one.
+            not_run_if_first=(
+                outcome is errors.Outcome.MAY_HAVE_RUN
+                and pending.refusal is not None
+                and code is not errors.Code.INTERNAL
+            ),
+        )
         answer = work.Answer(
             work_id=pending.submit.work_id,
             state=work.WorkState.FAILED,
             error=error,
         )
-        return self._finish(pending, answer)
+        decision = failure_decision(pending.submit.work_id, error)
+        return [decision, *self._finish(pending, answer)]
 
     def _finish(
         self, pending: PendingSubmission, answer: work.Answer
@@ -631,25 +712,30 @@
         )
 
     def _refusal(
-        self, submit: work.Submit, now: core.Instant
+        self,
+        submit: work.Submit,
+        now: core.Instant,
+        *,
+        is_counted: bool = False,
     ) -> errors.WorkError | None:
         """Return a ``NOT_RUN`` error if new work is refused.
 
         An id that the caller chose may have run through another entry, so its
-        owner is asked before the refusal is delivered.
+        owner is asked before the refusal is delivered. ``is_counted`` is set
+        if the submission is one of ``pending`` already.
         """
         if self.config.version == 0:
             return _not_run(
                 errors.Code.UNAVAILABLE,
                 "this entry has no configuration yet; use another entry",
             )
-        if not self.is_fresh:
+        if self.freshness is not None and not self.freshness.is_fresh(now):
             return _not_run(
                 errors.Code.UNAVAILABLE,
                 "this entry cannot confirm that its configuration is the "
                 "newest; use another entry",
             )
-        if len(self.pending) >= self.max_pending:
+        if len(self.pending) - is_counted >= self.max_pending:
             return _not_run(
                 errors.Code.RESOURCE_EXHAUSTED,
                 f"this entry holds {self.max_pending} submissions; retry "
@@ -669,33 +755,40 @@
 
     def _refuse(
         self, ticket: int, submit: work.Submit, error: errors.WorkError
-    ) -> core.Action:
+    ) -> core.Actions:
         answer = work.Answer(
             work_id=submit.work_id,
             state=work.WorkState.FAILED,
             error=error,
         )
-        return core.ReplyToCaller(ticket=ticket, message=answer)
+        return [
+            failure_decision(submit.work_id, error),
+            core.ReplyToCaller(ticket=ticket, message=answer),
+        ]
 
     # Queries about work
 
-    def _ask(
-        self, ticket: int, work_id: str, now: core.Instant, *, explain: bool
-    ) -> core.Actions:
+    def _new_query_id(self) -> int:
         query_id = self.next_query_id
         self.next_query_id += 1
+        return query_id
+
+    def _ask(
+        self,
+        ticket: int,
+        message: work.QueryWork | work.ExplainRequest,
+        now: core.Instant,
+    ) -> core.Actions:
         query = Query(
             ticket=ticket,
-            work_id=work_id,
+            work_id=message.work_id,
             expires_s=now.mono_s + QUERY_TIMEOUT_S,
-            explain=explain,
+            explain=isinstance(message, work.ExplainRequest),
         )
-        owner = self._reachable_owner(work_id)
+        owner = self._reachable_owner(message.work_id)
         if owner is None or len(self.queries) >= MAX_QUERIES:
-            return [self._unknown_reply(query_id, query)]
-        self.queries[query_id] = query
-        message_type = work.ExplainRequest if explain else work.QueryWork
-        message = message_type(work_id=work_id, query_id=query_id)
+            return [self._unknown_reply(message.query_id, query)]
+        self.queries[message.query_id] = query
         return [
             core.Send(to=owner.owner, address=owner.address, message=message)
         ]
@@ -768,6 +861,34 @@
         return member.address if member else members.NO_ADDRESS
 
 
+def failure_decision(
+    work_id: str, error: errors.WorkError
+) -> core.LogDecision:
+    """Return the decision log line of a refusal or an unknown outcome."""
+    is_refusal = error.outcome is errors.Outcome.NOT_RUN
+    return core.LogDecision(
+        kind="refusal" if is_refusal else "may_have_run",
+        work_id=work_id,
+        choice=str(error.code),
+        reason=error.reason,
+    )
+
+
+def lookup_decision(
+    pending: PendingSubmission, node: members.NodeId
+) -> core.LogDecision:
+    """Return the decision log line of asking for a record only."""
+    reason = "the owner of the id is gone; a later owner may have its record"
+    if pending.refusal is not None:
+        reason = f"before a refusal: {pending.refusal.reason}"
+    return core.LogDecision(
+        kind="lookup",
+        work_id=pending.submit.work_id,
+        choice=str(node),
+        reason=reason,
+    )
+
+
 def _is_not_run(answer: work.Answer) -> bool:
     error = answer.error
     return error is not None and error.outcome is errors.Outcome.NOT_RUN
@@ -782,6 +903,7 @@
             f"{refusal.reason}; an earlier submission with this id cannot "
             "be ruled out"
         ),
+        not_run_if_first=True,
     )
 
 
--- a/src/_jasminewind/nodes/entry.py
+++ b/src/_jasminewind/nodes/entry.py
@@ -33,6 +33,9 @@
 from _jasminewind.platform import client
 
 REFRESH_PERIOD_S = 0.2
+# Agents report to a new entry within about 2 s. Without agents an entry must
+# become ready all the same, because operators reach it through the balancer.
+REPORT_TIMEOUT_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -83,12 +86,15 @@
         self.initial_config = initial_config
         self.rng = rng
         self.directory = directory.Directory(member=member, rng=rng)
-        self.relay = relay.Relay(
-            member=member, directory=self.directory, rng=rng
-        )
         self.config_sync = entry_config_sync.EntryConfigSync(
             member=member, rng=rng
         )
+        self.relay = relay.Relay(
+            member=member,
+            directory=self.directory,
+            rng=rng,
+            freshness=self.config_sync,
+        )
         self.shard_releaser = shard_release.ShardReleaser(
             node=self, member=member, rng=rng
         )
@@ -99,6 +105,9 @@
         self.is_leaving = False
         self.is_initial_proposed = False
         self.notified_view: tuple[members.Member, ...] = ()
+        self.was_fresh = False
+        self.start_s = timer_service.now().mono_s
+        self.was_reported_to = False
         self.handlers[core.ReplyToCaller] = self._reply_to_caller
         self.handlers[proposals.ProposalResult] = self._on_proposal_result
         self.handlers[core.LogDecision] = self._log_decision
@@ -148,10 +157,14 @@
         actions = self.relay.cancel(work_id, self.timers.now())
         self.perform(self.relay, actions)
 
-    def query(self, work_id: str) -> defer.Deferred[work.WorkStatus]:
+    def query(
+        self, work_id: str, *, refuse_unknown: bool = False
+    ) -> defer.Deferred[work.WorkStatus]:
         """Fire with the state of a job or a request."""
         return self._call(
-            lambda ticket, now: self.relay.query(ticket, work_id, now)
+            lambda ticket, now: self.relay.query(
+                ticket, work_id, now, refuse_unknown=refuse_unknown
+            )
         )
 
     def explain(self, work_id: str) -> defer.Deferred[work.ExplainReply]:
@@ -211,11 +224,22 @@
         if self.config().version == 0:
             reason = "it has no configuration yet"
         elif not self.config_sync.is_fresh(self.timers.now()):
-            reason = "neither the table nor other entries answer it"
+            return backend.Readiness(
+                ready=False,
+                reason="neither the table nor other entries answer it",
+                accepts_work=True,
+                confirmed=False,
+            )
         elif self.is_leaving:
             return backend.Readiness(
                 ready=False, reason="it is shutting down", accepts_work=True
             )
+        elif self._awaits_first_report():
+            return backend.Readiness(
+                ready=False,
+                reason="no agent has reported the owners of the shards to it",
+                accepts_work=True,
+            )
         return backend.Readiness(ready=not reason, reason=reason)
 
     def now(self) -> core.Instant:
@@ -267,7 +291,7 @@
         contacts = self.config_sync.entries()
         self.directory.set_entries(contacts)
         self.relay.set_entry_count(len(contacts))
-        self.relay.set_fresh(self.config_sync.is_fresh(now))
+        self._log_freshness(now)
         self._propose_initial_config(now)
         view = self.directory.members()
         if view is not self.notified_view:
@@ -382,6 +406,34 @@
             case result.Err(changes.ConfigUnavailable()):
                 self.is_initial_proposed = False
 
+    def _awaits_first_report(self) -> bool:
+        """Return whether the entry is new and knows no agents yet."""
+        if not self.was_reported_to:
+            passed_s = self.timers.now().mono_s - self.start_s
+            self.was_reported_to = (
+                self.directory.has_complete_report()
+                or passed_s >= REPORT_TIMEOUT_S
+            )
+        return not self.was_reported_to
+
+    def _log_freshness(self, now: core.Instant) -> None:
+        """Log when the entry begins or ceases to be fresh."""
+        is_fresh = self.config_sync.is_fresh(now)
+        if is_fresh is self.was_fresh:
+            return
+        self.was_fresh = is_fresh
+        age_s = now.mono_s - self.config_sync.confirmed_s(now)
+        self.decision_log.write(
+            core.LogDecision(
+                kind="freshness",
+                choice="fresh" if is_fresh else "stale",
+                reason=(
+                    f"version {self.config().version} was confirmed "
+                    f"{age_s:.1f} s ago"
+                ),
+            )
+        )
+
     def _wake(self, waiter: defer.Deferred[typing.Any]) -> None:
         if waiter in self.config_waiters:
             self.config_waiters.remove(waiter)
--- a/testing/nodes/conftest.py
+++ b/testing/nodes/conftest.py
@@ -2,10 +2,12 @@
 
 import random
 
+import msgspec
 import pytest
 import result
 import structlog
 from twisted.internet import defer
+from twisted.internet import task
 from twisted.internet import testing as twisted_testing
 
 from _jasminewind import configuration
@@ -13,8 +15,10 @@
 from _jasminewind import timers
 from _jasminewind.decisions import core
 from _jasminewind.nodes import agent as agents
+from _jasminewind.nodes import entry as entries
 from _jasminewind.platform import client
 from testing.decisions import fakes
+from testing.decisions import fleet
 
 MEMBER = members.Member(
     node=members.NodeId("agent-0", 1),
@@ -39,15 +43,23 @@
 
 
 class Table(client.Table):
-    """The platform's table interface over the fake table."""
+    """The platform's table interface over the fake table.
+
+    With a ``clock``, reads are answered ``delay_s`` later.
+    """
 
     def __init__(self):
         self.fake = fakes.FakeTable()
+        self.clock = None
+        self.delay_s = 0.05
 
     def read(self, keys, prefix):
-        """Answer at once."""
+        """Answer at once, or after the delay."""
         action = core.ReadTable(tag="", keys=keys, prefix=prefix)
-        return defer.succeed(result.Ok(self.fake.read(action).rows))
+        rows = result.Ok(self.fake.read(action).rows)
+        if self.clock is None:
+            return defer.succeed(rows)
+        return task.deferLater(self.clock, self.delay_s, lambda: rows)
 
     def write(self, key, expected_version, value):
         """Answer at once."""
@@ -98,3 +110,23 @@
     )
     agent.apply_config(configuration.Configuration(version=1, shard_count=2))
     return agent
+
+
+@pytest.fixture
+def entry(clock):
+    """Return an entry whose table has a configuration it has not read."""
+    table = Table()
+    config = fleet.config(1, shard_count=1)
+    table.fake.rows[configuration.CONFIG_KEY] = (
+        1,
+        msgspec.json.encode(config).decode(),
+    )
+    return entries.Entry(
+        reactor=clock,
+        timer_service=timers.TimerService(clock=clock, wall_ms=clock.wall_ms),
+        member=fleet.entry_record(0),
+        table=table,
+        decision_log=DecisionLog(),
+        log=structlog.get_logger(),
+        rng=random.Random(1),
+    )
