Compare the clock of an endpoint with when it can have been read

An endpoint was dropped, with its runs stopped, although it lived: after a pause of its agent of more than 0.5 s, or when it was identified later than that after its announcement.

Cause: a reply whose clock is ahead of the time that has passed is taken for one of a later life, and that time was counted from when the last clock was read. A paused agent reads it late; an announcement may be old when the endpoint is used.

Traced by reading; test_an_old_announcement_does_not_make_the_clock_jump and test_a_paused_agent_keeps_its_endpoint failed before.

Change: the time is counted from when the last answered renewal was sent, which is before its clock was read.

--- a/src/_jasminewind/decisions/jobs/executor.py
+++ b/src/_jasminewind/decisions/jobs/executor.py
@@ -753,6 +753,7 @@
             if not call.is_out_of_band:
                 self.on_failed_renewal(reply, now)
             return self.flush()
+        self.lease.observe_state(reply.clock_ms, reply.sent_s)
         self.set_reachable(True, "it replied to a renewal", now)
         self.report_ends(reply, now)
         self.failed_renewals = 0
--- a/src/_jasminewind/decisions/jobs/leases.py
+++ b/src/_jasminewind/decisions/jobs/leases.py
@@ -49,12 +49,16 @@
     """The lease of an endpoint, as its agent knows it.
 
     Deadlines are on the clock of the endpoint, which is estimated from its
-    last reply. ``later_life_s`` is until when a later life of the endpoint may
-    hold a lease that was meant for this one, by the clock of the agent.
+    last reply, which may have waited in a paused agent. ``state_clock_ms`` is
+    that of the last renewal, sent at ``state_sent_s``. ``later_life_s`` is
+    until when a later life of the endpoint may hold a lease that was meant for
+    this one, by the clock of the agent.
     """
 
     clock_ms: int = 0
     clock_read_s: float = 0.0
+    state_clock_ms: int = 0
+    state_sent_s: float = 0.0
     deadline_ms: int = 0
     later_life_s: float = 0.0
 
@@ -66,10 +70,19 @@
 
     def has_restarted(self, clock_ms: int, now_s: float) -> bool:
         """Tell whether a reply with this clock is from a later life."""
-        if not clock_ms or not self.clock_ms:
+        if not clock_ms:
             return False
-        latest_ms = self.estimated_clock_ms(now_s) + MAX_CLOCK_ERROR_MS
-        return not self.clock_ms - MAX_CLOCK_ERROR_MS <= clock_ms <= latest_ms
+        if clock_ms < self.clock_ms - MAX_CLOCK_ERROR_MS:
+            return True
+        passed_ms = (now_s - self.state_sent_s) * 1000
+        latest_ms = self.state_clock_ms + passed_ms + MAX_CLOCK_ERROR_MS
+        return bool(self.state_clock_ms) and clock_ms > latest_ms
+
+    def observe_state(self, clock_ms: int, sent_s: float) -> None:
+        """Record the clock in the reply to a renewal sent at ``sent_s``."""
+        if clock_ms >= self.state_clock_ms:
+            self.state_clock_ms = clock_ms
+            self.state_sent_s = sent_s
 
     def allow_for_later_life(self, now_s: float) -> None:
         """Allow for a run that a later life of the endpoint has started."""
--- a/testing/decisions/jobs/test_endpoint_selection.py
+++ b/testing/decisions/jobs/test_endpoint_selection.py
@@ -62,6 +62,8 @@
         self.configured = frozenset({"orders", "bookings"})
         self.reads = 0
         self.clock_ms = 0
+        # What has passed on the clock since the announcement in use.
+        self.clock_offset_ms = 0
         self.logged = []
 
     def now(self):
@@ -123,7 +125,9 @@
     def reply_to_renewal(self, outcome):
         """Deliver the endpoint's reply to the pending renewal."""
         reply = actions.RenewReply(
-            outcome=outcome, sent_s=self.now_s, clock_ms=self.clock_ms
+            outcome=outcome,
+            sent_s=self.now_s,
+            clock_ms=self.clock_ms + self.clock_offset_ms,
         )
         requested = self.executor.on_renew_reply(
             self.renewal, reply, self.now()
--- a/testing/decisions/jobs/test_run_ends.py
+++ b/testing/decisions/jobs/test_run_ends.py
@@ -571,3 +571,48 @@
         machine.observe_reply(fenced, now)
         tokens.append(machine.fencing_token)
     assert tokens[0] < tokens[1]
+
+
+# The clock of one life, read late
+
+
+def test_an_old_announcement_does_not_make_the_clock_jump():
+    """Guards against an endpoint that is dropped as soon as it is attached.
+
+    It could not be identified for a while after its announcement.
+    """
+    agent = test_endpoint_selection.Agent()
+    agent.endpoints = {}
+    agent.announce(test_endpoint_selection.RECORD)
+    agent.now_s += 3.0
+    agent.endpoints = {
+        test_endpoint_selection.ADDRESS: test_endpoint_selection.RECORD
+    }
+    agent.clock_offset_ms = 3_000
+    agent.tick()
+    agent.tick()
+    assert agent.used == test_endpoint_selection.RECORD
+    assert agent.executor.is_accepting()
+
+
+@pytest.mark.parametrize("pause_s", [0.6, 0.69])
+def test_a_paused_agent_keeps_its_endpoint(busy, pause_s):
+    """Guards against a clock that seems to jump after a pause of the agent.
+
+    It reads a reply that the endpoint has sent before the pause.
+    """
+    sent_s = busy.now_s
+    clock_ms = int(sent_s * 1000) + 50
+    busy.now_s += pause_s
+    reply = actions.RenewReply(
+        outcome=actions.CallOutcome.DONE,
+        sent_s=sent_s,
+        clock_ms=clock_ms,
+        running=(actions.RunningRun(key=FIRST),),
+        born_ms=RECORD.born_ms,
+    )
+    found = busy.executor.on_renew_reply(busy.pending, reply, busy.now())
+    (busy.pending,) = test_paused_agent.calls(found, actions.CallRenew)
+    busy.now_s += 0.1
+    busy.renewed(running=(actions.RunningRun(key=FIRST),))
+    assert busy.executor.departure is None
