Allow for a later life once, not with each of its replies

A task whose start was unanswered when its endpoint restarted under its identifier waited for as long as the later life answered: each reply moved the time on until which a lease may last.

Change: a later life extends the wait for unanswered starts with the first reply that shows it, and for the renewals that it has answered.

Evidence: test_a_start_that_a_later_life_may_have_taken_is_given_up failed before (no end reported within 2 s).

--- a/src/_jasminewind/decisions/jobs/executor.py
+++ b/src/_jasminewind/decisions/jobs/executor.py
@@ -735,11 +735,8 @@
             if not call.is_out_of_band:
                 self.next_renewal_s = now.mono_s + RENEWAL_RETRY_S
             self.expect_end("another incarnation replied", now)
-            was_accepted = reply.outcome is actions.CallOutcome.DONE
-            if was_accepted and (
-                call.deadline_ms or self.has_unanswered_start()
-            ):
-                self.lease.allow_for_later_life(now.mono_s)
+            if reply.outcome is actions.CallOutcome.DONE:
+                self.on_later_life(call, now)
             return self.flush()
         is_fenced = reply.outcome is actions.CallOutcome.FENCED
         if not is_fenced or call.fencing_token == self.fencing_token:
@@ -766,6 +763,17 @@
             self.next_renewal_s = now.mono_s + RENEWAL_RETRY_S
         return self.flush()
 
+    def on_later_life(
+        self, call: actions.CallRenew, now: core.Instant
+    ) -> None:
+        """Allow for calls that a later life may have taken for its own.
+
+        No start is sent after the first reply that shows it.
+        """
+        is_first = not self.lease.later_life_s
+        if call.deadline_ms or (is_first and self.has_unanswered_start()):
+            self.lease.allow_for_later_life(now.mono_s)
+
     def on_failed_renewal(
         self, reply: actions.RenewReply, now: core.Instant
     ) -> None:
--- a/testing/decisions/jobs/test_run_ends.py
+++ b/testing/decisions/jobs/test_run_ends.py
@@ -474,6 +474,34 @@
     assert simulated.violations() == []
 
 
+def test_a_start_that_a_later_life_may_have_taken_is_given_up(busy):
+    """Guards against a task that waits for as long as a later life answers.
+
+    The start of its run is unanswered, and so is the stop.
+    """
+    key = runs.RunKey("0000000000000003.0.0.0", 1)
+    busy.executor.stop_runs(ENTRY, (test_paused_agent.QUEUED,), busy.now())
+    assert busy.order(3, test_paused_agent.order(key, 0.1)) == [key]
+    lost = actions.CallReply(outcome=actions.CallOutcome.LOST)
+    busy.executor.on_start_reply(key, lost, busy.now())
+    ended = {}
+    pending = [busy.pending]
+    for _ in range(40):
+        busy.now_s += executor.RunExecutor.TICK_S
+        reply = actions.RenewReply(
+            outcome=actions.CallOutcome.DONE,
+            sent_s=busy.now_s,
+            clock_ms=1_000,
+            born_ms=RECORD.born_ms + 5_000,
+        )
+        found = busy.executor.on_tick(busy.now())
+        for call in pending:
+            found += busy.executor.on_renew_reply(call, reply, busy.now())
+        ended.update(reported(found))
+        pending = test_paused_agent.calls(found, actions.CallRenew)
+    assert ended[key] is runs.RunOutcome.LAPSED
+
+
 # An endpoint that is attached again
 
 
