--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -625,6 +625,8 @@
         self.ends = []
         self.seen = []
         self.overlaps = []
+        # Further processes that a case has started.
+        self.others = []
         zones = ("wa-south-a", "wa-south-b", "wa-south-c")
         self.entries = [
             Machine(
@@ -819,6 +821,10 @@
         self.is_closing = True
         for machine in (*self.entries, *self.agents):
             await machine.leave()
+        for child in self.others:
+            if child.returncode is None:
+                child.kill()
+                await child.wait()
         for task in self.tasks:
             task.cancel()
         shutil.rmtree(self.folder, ignore_errors=True)
