Log fencing tokens of unanswered starts and of other lives

The log of the agent said that the start was unanswered, that the run was absent, and that another incarnation replied. It could not tell apart

1. no call with a higher fencing token had reached the later life, 2. such a call was sent and lost, or 3. the start was sent after the agent knew of the later life.

`start_unanswered` now names the token of the start and its deadline on the clock of the endpoint; `endpoint_leaving` names the birth, clock and runs of the incarnation that replied, and the token of the call.

--- a/src/_jasminewind/decisions/jobs/executor.py
+++ b/src/_jasminewind/decisions/jobs/executor.py
@@ -289,7 +289,12 @@
             run.last_progress.begin(now.mono_s)
         elif reply.outcome is actions.CallOutcome.LOST:
             run.state = allocation.RunState.UNCONFIRMED
-            self.log("start_unanswered", reply.reason, key)
+            self.log(
+                "start_unanswered",
+                f"{reply.reason}; fencing token {self.fencing_token}, may "
+                f"start until {run.deadline_ms} ms on the endpoint's clock",
+                key,
+            )
             self.meter.add(metrics.STARTS_UNANSWERED)
             self.stop_run(run, runs.RunOutcome.LAPSED, now)
         else:
--- a/src/_jasminewind/decisions/jobs/renewals.py
+++ b/src/_jasminewind/decisions/jobs/renewals.py
@@ -16,6 +16,8 @@
 # Consecutive renewals without a reply before the endpoint counts as
 # unreachable; single replies get lost while others arrive.
 MAX_FAILED_RENEWALS = 3
+# Runs that a log line names.
+MAX_LOGGED_RUNS = 4
 # Delay before a failed renewal is retried.
 RENEWAL_RETRY_S = 0.05
 
@@ -122,7 +124,11 @@
         if is_other_incarnation(call.endpoint, reply):
             if not call.is_out_of_band:
                 self.next_renewal_s = now.mono_s + RENEWAL_RETRY_S
-            self.expect_end("another incarnation replied", now)
+            self.expect_end(
+                "another incarnation replied: "
+                f"{describe_reply(call, reply)}",
+                now,
+            )
             if reply.outcome is actions.CallOutcome.DONE:
                 self.on_later_life(call, now)
             return self.flush()
@@ -272,6 +278,18 @@
     return False
 
 
+def describe_reply(call: actions.CallRenew, reply: actions.RenewReply) -> str:
+    """Return what a reply of another incarnation tells, for the log."""
+    if reply.outcome is not actions.CallOutcome.DONE:
+        return reply.outcome.value
+    listed = [str(run.key) for run in reply.running[:MAX_LOGGED_RUNS]]
+    return (
+        f"born {reply.born_ms}, clock {reply.clock_ms} ms, "
+        f"{len(reply.running)} runs {listed}, "
+        f"called with fencing token {call.fencing_token}"
+    )
+
+
 def is_other_incarnation(
     known: runs.EndpointRecord, reply: actions.RenewReply
 ) -> bool:
