Model starts that a later life of an endpoint carries out

spec/later_lives.py has three lives of an endpoint, two processes of its agent, and a start that any life may carry out at any time.

What the model showed: raising the token at the reply of a later life is not enough, as that reply may be lost or late; the call itself has to carry a higher token than the start.

--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -7,10 +7,11 @@
 from spec import delivery
 from spec import departures
 from spec import grants
+from spec import later_lives
 from spec import ownership
 from spec import starts
 
-MODELS = (ownership, starts, grants, departures, delivery)
+MODELS = (ownership, starts, grants, departures, later_lives, delivery)
 
 
 def main() -> int:
--- a/testing/spec/test_models.py
+++ b/testing/spec/test_models.py
@@ -6,12 +6,20 @@
 from spec import delivery
 from spec import departures
 from spec import grants
+from spec import later_lives
 from spec import ownership
 from spec import starts
 
 CASES = [
     (model, mutation)
-    for model in (ownership, starts, grants, departures, delivery)
+    for model in (
+        ownership,
+        starts,
+        grants,
+        departures,
+        later_lives,
+        delivery,
+    )
     for mutation in model.MUTATIONS
 ]
 
@@ -72,6 +80,25 @@
     }
 
 
+def test_later_lives_hold():
+    """Guards against a start that a later life carries out beside another run.
+
+    The model must have each way in which the task is placed again.
+    """
+    labels = set()
+    result = check.search(check.recorded(later_lives.build(), labels))
+    assert result.exhaustive
+    assert result.steps is None
+    assert labels >= {
+        "the stop is answered",
+        "the lease has certainly expired",
+        "the entry gives up the agent",
+        "a life begins, and its first reply is lost",
+        "the start is refused",
+        "the entry places the task again",
+    }
+
+
 @pytest.mark.parametrize("mutation", departures.MUTATIONS)
 def test_counterexamples_of_departures_are_short(mutation):
     """Guards against rules that only a contrived sequence needs."""
