Fix two runs after a restarted endpoint gets a late start

A start without an answer was settled by a stop, the task started elsewhere, the first endpoint crashed and came back under its identifier, and its new life carried the start out 2.2 s after it was sent.

Cause: an answered stop and the deadline on the clock of the endpoint prove that a start never takes effect for one life of the endpoint only. The calls after the start had its fencing token, so that nothing made a later life refuse it.

Change: when a start times out, the agent raises its token. Stop, reads and renewals carry the higher one, so the first call that reaches a life of the endpoint, answered or not, makes it refuse the start. One raise covers all starts with the same token. A call refused because it was sent before the raise is repeated at once; it does not count as a failed renewal.

--- a/spec/later_lives.py
+++ b/spec/later_lives.py
@@ -41,10 +41,11 @@
 class State(typing.NamedTuple):
     """State of one task, whose first run is ordered at the agent.
 
-    Of the current life of the endpoint: ``life``, ``up``, ``seen`` (its
-    highest fencing token), ``stopped`` (it rejects the first run), ``late`` (the
-    deadline of the start has passed on its clock), and ``called`` (by the
-    agent). ``known`` is the life that the agent takes for the current one,
+    Of the current life: ``life``, ``up``, ``seen`` (its highest fencing
+    token), ``stopped`` (it rejects the first run), ``late`` (the deadline of
+    the start has passed on its clock), and ``called`` (by the agent).
+
+    ``known`` is the life that the agent takes for the current one,
     ``attached`` is set while it uses it. ``start`` is the token of a start in
     the network. ``unanswered`` is set once the start has timed out,
     ``may_place`` once the entry has been told that the run has ended.
--- a/src/_jasminewind/decisions/jobs/allocation.py
+++ b/src/_jasminewind/decisions/jobs/allocation.py
@@ -32,10 +32,11 @@
     """A run that was accepted here and has not ended.
 
     ``deadline_ms`` is the latest time on the clock of the endpoint at which
-    it can still start. Times are monotonic seconds, 0 for not yet. The lease
-    is not renewed after ``renew_until_s`` while the stop is unanswered;
-    ``has_held_lease`` is set once that was the case. ``is_moved``: stopped
-    because the endpoint leaves before its end.
+    it can still start. ``fencing_token`` is that of the start, and
+    ``stop_token`` that of the last stop. Times are monotonic seconds, 0 for
+    not yet. The lease is not renewed after ``renew_until_s`` while the stop is
+    unanswered; ``has_held_lease`` is set once that was the case.
+    ``is_moved``: stopped because the endpoint leaves before its end.
     """
 
     order: runs.RunOrder
@@ -43,9 +44,11 @@
     due_s: float
     state: RunState = RunState.QUEUED
     deadline_ms: int = 0
+    fencing_token: int = 0
     started_s: float = 0.0
     is_stopping: bool = False
     stop_outcome: runs.RunOutcome = runs.RunOutcome.STOPPED
+    stop_token: int = 0
     stop_sent_s: float = 0.0
     stop_answered_s: float = 0.0
     renew_until_s: float = math.inf
--- a/src/_jasminewind/decisions/jobs/endpoint_use.py
+++ b/src/_jasminewind/decisions/jobs/endpoint_use.py
@@ -224,10 +224,23 @@
             if not is_reachable:
                 self.reject_queued("the endpoint does not answer", now)
 
+    def is_outdated(
+        self, outcome: actions.CallOutcome, fencing_token: int
+    ) -> bool:
+        """Tell whether a call was refused as it came after later ones.
+
+        Its ``fencing_token`` is below that of the calls sent since.
+        """
+        is_fenced = outcome is actions.CallOutcome.FENCED
+        return is_fenced and fencing_token < self.fencing_token
+
     def observe_reply(
-        self, reply: actions.CallReply, now: core.Instant
+        self, reply: actions.CallReply, fencing_token: int, now: core.Instant
     ) -> None:
-        """Update the clock of the endpoint, and raise a stale token."""
+        """Update the clock of the endpoint, and raise a stale token.
+
+        The call had ``fencing_token``.
+        """
         if reply.outcome is actions.CallOutcome.OTHER_ENDPOINT:
             return
         if self.lease.has_restarted(reply.clock_ms, now.mono_s):
@@ -235,6 +248,8 @@
             self.expect_end("its clock has started anew", now)
         elif reply.clock_ms:
             self.lease.observe_clock(reply.clock_ms, now.mono_s)
+        if self.is_outdated(reply.outcome, fencing_token):
+            return
         if reply.outcome is actions.CallOutcome.FENCED and self.endpoint:
             wall_ms = self.endpoint.born_ms + reply.clock_ms
             if wall_ms > self.fencing_token:
--- a/src/_jasminewind/decisions/jobs/executor.py
+++ b/src/_jasminewind/decisions/jobs/executor.py
@@ -280,7 +280,7 @@
         run = self.allocation.runs.get(key)
         if run is None:
             return self.flush()
-        self.observe_reply(reply, now)
+        self.observe_reply(reply, run.fencing_token, now)
         if run.state is not allocation.RunState.STARTING:
             return self.flush()
         if reply.outcome is actions.CallOutcome.DONE:
@@ -288,15 +288,7 @@
             run.started_s = now.mono_s
             run.last_progress.begin(now.mono_s)
         elif reply.outcome is actions.CallOutcome.LOST:
-            run.state = allocation.RunState.UNCONFIRMED
-            self.log(
-                "start_unanswered",
-                f"{reply.reason}; fencing token {self.fencing_token}, may "
-                f"start until {run.deadline_ms} ms on the endpoint's clock",
-                key,
-            )
-            self.meter.add(metrics.STARTS_UNANSWERED)
-            self.stop_run(run, runs.RunOutcome.LAPSED, now)
+            self.on_start_unanswered(run, reply.reason, now)
         else:
             outcome = runs.RunOutcome.NOT_STARTED
             if reply.outcome is actions.CallOutcome.OUTDATED:
@@ -309,6 +301,28 @@
         self.start_queued(now)
         return self.flush()
 
+    def on_start_unanswered(
+        self, run: allocation.Run, reason: str, now: core.Instant
+    ) -> None:
+        """Stop a run whose start may be carried out at any time.
+
+        A later life of the endpoint knows neither the stop nor the clock of
+        the deadline. All later calls get a higher fencing token, so that the
+        first one to reach a life makes it refuse the start.
+        """
+        run.state = allocation.RunState.UNCONFIRMED
+        self.log(
+            "start_unanswered",
+            f"{reason}; fencing token {run.fencing_token}, may start until "
+            f"{run.deadline_ms} ms on the endpoint's clock",
+            run.key,
+        )
+        self.meter.add(metrics.STARTS_UNANSWERED)
+        # One raise covers all starts with the same token.
+        if run.fencing_token == self.fencing_token:
+            self.fencing_token += 1
+        self.stop_run(run, runs.RunOutcome.LAPSED, now)
+
     def on_stop_reply(
         self, key: runs.RunKey, reply: actions.CallReply, now: core.Instant
     ) -> core.Actions:
@@ -316,7 +330,9 @@
         run = self.allocation.runs.get(key)
         if run is None:
             return self.flush()
-        self.observe_reply(reply, now)
+        self.observe_reply(reply, run.stop_token, now)
+        if self.is_outdated(reply.outcome, run.stop_token):
+            self.send_stop(run, now)
         if reply.outcome is actions.CallOutcome.DONE:
             run.stop_answered_s = now.mono_s
             if run.state is allocation.RunState.UNCONFIRMED:
--- a/src/_jasminewind/decisions/jobs/renewals.py
+++ b/src/_jasminewind/decisions/jobs/renewals.py
@@ -57,6 +57,7 @@
             return
         while run := self.allocation.start_next():
             run.deadline_ms = self.lease.next_deadline_ms(now.mono_s)
+            run.fencing_token = self.fencing_token
             self.actions.append(
                 actions.CallStart(
                     endpoint=self.endpoint,
@@ -132,14 +133,15 @@
             if reply.outcome is actions.CallOutcome.DONE:
                 self.on_later_life(call, now)
             return self.flush()
-        is_fenced = reply.outcome is actions.CallOutcome.FENCED
-        if not is_fenced or call.fencing_token == self.fencing_token:
-            self.observe_reply(
-                actions.CallReply(
-                    outcome=reply.outcome, clock_ms=reply.clock_ms
-                ),
-                now,
-            )
+        self.observe_reply(
+            actions.CallReply(outcome=reply.outcome, clock_ms=reply.clock_ms),
+            call.fencing_token,
+            now,
+        )
+        if self.is_outdated(reply.outcome, call.fencing_token):
+            if not call.is_out_of_band:
+                self.renew(now)
+            return self.flush()
         if reply.outcome is not actions.CallOutcome.DONE:
             if not call.is_out_of_band:
                 self.on_failed_renewal(reply, now)
--- a/src/_jasminewind/decisions/jobs/run_stops.py
+++ b/src/_jasminewind/decisions/jobs/run_stops.py
@@ -111,14 +111,19 @@
         elif not run.is_stopping:
             run.is_stopping = True
             run.stop_outcome = outcome
-            run.stop_sent_s = now.mono_s
-            self.call_stop(run.key)
+            self.send_stop(run, now)
 
     def reject_queued(self, reason: str, now: core.Instant) -> None:
         """Refuse all queued runs."""
         for run in list(self.allocation.queue):
             self.end_run(run, runs.RunOutcome.NOT_STARTED, now, reason=reason)
 
+    def send_stop(self, run: allocation.Run, now: core.Instant) -> None:
+        """Call the endpoint to stop a run, for the first time or again."""
+        run.stop_sent_s = now.mono_s
+        run.stop_token = self.fencing_token
+        self.call_stop(run.key)
+
     def call_stop(self, key: runs.RunKey) -> None:
         """Call the endpoint to stop a run."""
         if self.endpoint is not None:
@@ -137,8 +142,7 @@
             if not run.is_stopping or run.stop_answered_s:
                 continue
             if waited_s >= STOP_RETRY_S:
-                run.stop_sent_s = now.mono_s
-                self.call_stop(run.key)
+                self.send_stop(run, now)
 
     def stop_unknown(self, key: runs.RunKey, now: core.Instant) -> None:
         """Stop a run that this process did not start or has given up."""
--- a/testing/decisions/jobs/cluster.py
+++ b/testing/decisions/jobs/cluster.py
@@ -65,7 +65,8 @@
     ``partitions`` holds pairs of process names (from, to) between which
     messages are lost; :meth:`reset_links` loses those in flight.
     ``start_loss`` is the share of starts whose reply is
-    lost; they take effect after ``start_delay_s``. Lost stops have no effect.
+    lost; they take effect after ``start_delay_s``, on the life of the endpoint
+    that there is then. Lost stops have no effect.
     """
 
     def __init__(self, *, entries=2, agents=3, seed=0, cores=10.0, speeds=()):
@@ -290,10 +291,13 @@
             work_s *= self.remote_slowdown
         if self.rng.random() < self.start_loss:
             reply = actions.CallReply(outcome=actions.CallOutcome.LOST)
-            self.at(
-                self.start_delay_s,
-                lambda: fake_endpoint.start(action, self.now_s, work_s),
-            )
+
+            def start_late():
+                found = self.fake_endpoint(process)
+                if not found.is_down:
+                    found.start(action, self.now_s, work_s)
+
+            self.at(self.start_delay_s, start_late)
             delay_s = CALL_TIMEOUT_S
         elif fake_endpoint.is_down:
             reply = actions.CallReply(outcome=actions.CallOutcome.LOST)
--- a/testing/decisions/jobs/endpoint.py
+++ b/testing/decisions/jobs/endpoint.py
@@ -28,9 +28,12 @@
     """Starts every run it is asked to, whether it fits or not.
 
     ``violations`` collects broken invariants: runs beyond the capacity, and
-    overlapping runs of one task on any of ``peers``.
+    overlapping runs of one task on any of ``peers``. With ``names_birth`` its
+    lists of runs contain the time of its start.
     """
 
+    names_birth = False
+
     def __init__(self, name, *, cores=10.0, speed=1.0, born_s=0.0, rack="r1"):
         self.record = runs.EndpointRecord(
             name=name,
@@ -200,6 +203,7 @@
                 for run in self.running.values()
             ),
             ended=tuple(self.ended),
+            born_ms=self.record.born_ms if self.names_birth else 0,
         )
 
     def slow_down(self, now_s, factor):
--- a/testing/decisions/jobs/test_run_ends.py
+++ b/testing/decisions/jobs/test_run_ends.py
@@ -19,6 +19,7 @@
 FIRST = test_paused_agent.FIRST
 RECORD = test_paused_agent.RECORD
 OTHER_CLOCK_MS = 10_000_000
+LOST = actions.CallReply(outcome=actions.CallOutcome.LOST)
 
 
 @pytest.fixture
@@ -444,10 +445,7 @@
 class Reborn(endpoint.FakeEndpoint):
     """An endpoint whose lists name its time of birth."""
 
-    def renew(self, action, now_s, sent_s):
-        """Renew the lease, and name the birth."""
-        reply = super().renew(action, now_s, sent_s)
-        return dataclasses.replace(reply, born_ms=self.record.born_ms)
+    names_birth = True
 
 
 @pytest.mark.parametrize("stop_loss", [0.0, 1.0])
@@ -482,8 +480,7 @@
     key = runs.RunKey("0000000000000003.0.0.0", 1)
     busy.executor.stop_runs(ENTRY, (test_paused_agent.QUEUED,), busy.now())
     assert busy.order(3, test_paused_agent.order(key, 0.1)) == [key]
-    lost = actions.CallReply(outcome=actions.CallOutcome.LOST)
-    busy.executor.on_start_reply(key, lost, busy.now())
+    busy.executor.on_start_reply(key, LOST, busy.now())
     ended = {}
     pending = [busy.pending]
     for _ in range(40):
@@ -596,11 +593,70 @@
         fenced = actions.CallReply(
             outcome=actions.CallOutcome.FENCED, clock_ms=4_000 + 1_000 * number
         )
-        machine.observe_reply(fenced, now)
+        machine.observe_reply(fenced, machine.fencing_token, now)
         tokens.append(machine.fencing_token)
     assert tokens[0] < tokens[1]
 
 
+@pytest.fixture
+def doubtful(busy):
+    """Return an agent whose last start timed out while it renewed."""
+    key = runs.RunKey("0000000000000003.0.0.0", 1)
+    busy.executor.stop_runs(ENTRY, (test_paused_agent.QUEUED,), busy.now())
+    assert busy.order(3, test_paused_agent.order(key, 0.1)) == [key]
+    busy.unanswered = key
+    busy.start_token = busy.executor.fencing_token
+    busy.stops = test_paused_agent.calls(
+        busy.executor.on_start_reply(key, LOST, busy.now()), actions.CallStop
+    )
+    return busy
+
+
+def test_calls_after_an_unanswered_start_are_above_it(doubtful):
+    """Guards against a start that a later call does not fence."""
+    (stop,) = doubtful.stops
+    assert stop.fencing_token > doubtful.start_token
+    assert doubtful.executor.fencing_token == stop.fencing_token
+
+
+def test_a_renewal_refused_as_outdated_is_repeated_at_once(doubtful):
+    """Guards against an endpoint that counts as out of reach for that.
+
+    The renewal was sent before the token rose, and arrives after the stop.
+    """
+    assert doubtful.pending.fencing_token == doubtful.start_token
+    token = doubtful.executor.fencing_token
+    reply = actions.RenewReply(
+        outcome=actions.CallOutcome.FENCED,
+        sent_s=doubtful.now_s,
+        clock_ms=int(doubtful.now_s * 1000),
+    )
+    found = doubtful.executor.on_renew_reply(
+        doubtful.pending, reply, doubtful.now()
+    )
+    (renewal,) = test_paused_agent.calls(found, actions.CallRenew)
+    assert renewal.fencing_token == token
+    assert doubtful.executor.is_accepting()
+
+
+def test_a_stop_refused_as_outdated_is_repeated_at_once(doubtful):
+    """Guards against a run that goes on until the stop is retried.
+
+    Its stop was sent before the token rose, and arrives after that.
+    """
+    doubtful.executor.stop_runs(ENTRY, (FIRST,), doubtful.now())
+    doubtful.executor.flush()
+    doubtful.executor.fencing_token += 1
+    fenced = actions.CallReply(
+        outcome=actions.CallOutcome.FENCED,
+        clock_ms=int(doubtful.now_s * 1000),
+    )
+    found = doubtful.executor.on_stop_reply(FIRST, fenced, doubtful.now())
+    (stop,) = test_paused_agent.calls(found, actions.CallStop)
+    assert stop.key == FIRST
+    assert stop.fencing_token == doubtful.executor.fencing_token
+
+
 # The clock of one life, read late
 
 
