Fix late starts at lives that begin while no endpoint is in use

Here the agent had dropped the endpoint (a notice that it leaves, the reply of another life, silence), so that it called nobody until the next announcement, up to 1.5 s later. A life that began in that time took a start that was held up before.

What fences a late start is a call, and none was sent.

Change: for 12 s after an unanswered start (the longest delay that the platform's description of its disruptions names), and after the start of an agent process, an endpoint that does not answer, or was dropped, is read in each tick. The read has the current fencing token. The window in which a life takes an earlier start is one tick of 50 ms and the call.

Tests: test_a_life_after_a_notice_refuses_a_start_that_arrives_late and test_a_third_life_refuses_a_start_that_arrives_late (both failed with a second run), test_a_later_life_is_called_within_a_tick (14 of 16 cases failed, after 0.06 to 0.15 s, or not within 0.3 s).

--- a/src/_jasminewind/decisions/jobs/endpoint_use.py
+++ b/src/_jasminewind/decisions/jobs/endpoint_use.py
@@ -48,6 +48,8 @@
         self.departures = departures.Departures()
         self.is_leaving = False
         self.is_renewing = False
+        # The last endpoint, while none is in use.
+        self.dropped: runs.EndpointRecord | None = None
 
     def on_registered(self, *, is_first: bool) -> None:
         """Learn that this agent is registered.
@@ -133,6 +135,7 @@
             self.fencing_token + 1, record.born_ms + clock_ms
         )
         self.last_end = 0
+        self.dropped = None
         self.is_reconciled = False
         self.is_renewing = False
         self.unknown_stop_sent_s.clear()
@@ -189,6 +192,7 @@
     def drop_endpoint(self, reason: str) -> None:
         """Drop the endpoint until it announces itself again."""
         self.log("endpoint_gone", reason)
+        self.dropped = self.endpoint
         self.endpoint = None
         self.departure = None
         self.is_reconciled = False
@@ -251,12 +255,15 @@
         if self.is_outdated(reply.outcome, fencing_token):
             return
         if reply.outcome is actions.CallOutcome.FENCED and self.endpoint:
-            wall_ms = self.endpoint.born_ms + reply.clock_ms
-            if wall_ms > self.fencing_token:
-                self.fencing_token = wall_ms
-            else:
-                self.fencing_token += FENCING_TOKEN_STEP_MS
-            self.log("fence", f"fencing token raised to {self.fencing_token}")
+            self.raise_fencing_token(self.endpoint.born_ms + reply.clock_ms)
+
+    def raise_fencing_token(self, wall_ms: int) -> None:
+        """Raise a token that the endpoint has refused at its ``wall_ms``."""
+        if wall_ms > self.fencing_token:
+            self.fencing_token = wall_ms
+        else:
+            self.fencing_token += FENCING_TOKEN_STEP_MS
+        self.log("fence", f"fencing token raised to {self.fencing_token}")
 
     def may_renew(self, now: core.Instant) -> bool:
         """Tell whether the lease may be extended.
--- a/src/_jasminewind/decisions/jobs/executor.py
+++ b/src/_jasminewind/decisions/jobs/executor.py
@@ -321,6 +321,7 @@
         # One raise covers all starts with the same token.
         if run.fencing_token == self.fencing_token:
             self.fencing_token += 1
+        self.late_starts.record(now.mono_s)
         self.stop_run(run, runs.RunOutcome.LAPSED, now)
 
     def on_stop_reply(
@@ -346,6 +347,7 @@
         self.move_runs(now)
         if not self.is_renewing and now.mono_s >= self.next_renewal_s:
             self.renew(now)
+        self.call_later_lives(now)
         if self.is_registered and now.mono_s > self.earlier_leases_end_s:
             self.forget_earlier_runs()
         self.end_lapsed_runs("the lease of the endpoint has expired", now)
--- a/src/_jasminewind/decisions/jobs/renewals.py
+++ b/src/_jasminewind/decisions/jobs/renewals.py
@@ -4,7 +4,7 @@
 from _jasminewind.decisions import core
 from _jasminewind.decisions.jobs import actions
 from _jasminewind.decisions.jobs import allocation
-from _jasminewind.decisions.jobs import endpoint_use
+from _jasminewind.decisions.jobs import later_lives
 from _jasminewind.messages import runs
 
 # Long-poll timeouts of renewals: the endpoint replies earlier if a run ends.
@@ -22,7 +22,7 @@
 RENEWAL_RETRY_S = 0.05
 
 
-class Renewals(endpoint_use.EndpointUse):
+class Renewals(later_lives.LaterLives):
     """Renews the lease, and reconciles the runs with what is listed."""
 
     def __init__(
@@ -96,21 +96,6 @@
             )
         )
 
-    def read_state(self) -> None:
-        """Read the state at once, even while a renewal is pending."""
-        if self.endpoint is not None:
-            self.actions.append(
-                actions.CallRenew(
-                    endpoint=self.endpoint,
-                    fencing_token=self.fencing_token,
-                    deadline_ms=0,
-                    last_end=self.last_end,
-                    wait_s=0.0,
-                    is_out_of_band=True,
-                    attachment=self.attachment,
-                )
-            )
-
     def on_renew_reply(
         self,
         call: actions.CallRenew,
@@ -159,28 +144,6 @@
             self.next_renewal_s = now.mono_s + RENEWAL_RETRY_S
         return self.flush()
 
-    def on_later_life(
-        self, call: actions.CallRenew, now: core.Instant
-    ) -> None:
-        """Allow for calls that a later life may have taken for its own.
-
-        No start is sent after the first reply that shows it.
-        """
-        is_first = not self.lease.later_life_s
-        if call.deadline_ms or (is_first and self.has_unanswered_start()):
-            self.lease.allow_for_later_life(now.mono_s)
-
-    def has_unanswered_start(self) -> bool:
-        """Tell whether a start may have reached a later life."""
-        return any(
-            run.state
-            in (
-                allocation.RunState.STARTING,
-                allocation.RunState.UNCONFIRMED,
-            )
-            for run in self.allocation.runs.values()
-        )
-
     def on_failed_renewal(
         self, reply: actions.RenewReply, now: core.Instant
     ) -> None:
--- a/src/_jasminewind/decisions/jobs/run_stops.py
+++ b/src/_jasminewind/decisions/jobs/run_stops.py
@@ -124,12 +124,17 @@
         run.stop_token = self.fencing_token
         self.call_stop(run.key)
 
+    def called_endpoint(self) -> runs.EndpointRecord | None:
+        """Return the endpoint that stops and reads are sent to, if any."""
+        return self.endpoint
+
     def call_stop(self, key: runs.RunKey) -> None:
         """Call the endpoint to stop a run."""
-        if self.endpoint is not None:
+        called = self.called_endpoint()
+        if called is not None:
             self.actions.append(
                 actions.CallStop(
-                    endpoint=self.endpoint,
+                    endpoint=called,
                     fencing_token=self.fencing_token,
                     key=key,
                 )
--- a/testing/decisions/jobs/test_reused_identifier.py
+++ b/testing/decisions/jobs/test_reused_identifier.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from _jasminewind.decisions.jobs import executor
 from testing.decisions.jobs import cluster
 from testing.decisions.jobs import endpoint
 
@@ -15,11 +16,22 @@
         begin_life(simulated, name)
 
 
-def begin_life(simulated, name, *, names_birth=False):
-    """Let a new life of an endpoint begin under the name of the earlier."""
+def begin_life(
+    simulated,
+    name,
+    *,
+    names_birth=False,
+    is_silent=False,
+    kind=endpoint.FakeEndpoint,
+):
+    """Let a new life of an endpoint begin under the name of the earlier.
+
+    A silent one does not announce itself yet.
+    """
     earlier = simulated.endpoints[name]
-    later = endpoint.FakeEndpoint(earlier.record.name, born_s=simulated.now_s)
+    later = kind(earlier.record.name, born_s=simulated.now_s)
     later.names_birth = names_birth
+    later.is_leaving = is_silent
     simulated.endpoints[name] = later
     for each in simulated.endpoints.values():
         each.peers = list(simulated.endpoints.values())
@@ -93,3 +105,86 @@
     assert simulated.violations() == []
     assert started_later(simulated, holder) == []
     assert simulated.states() == {JOB: ["completed"]}
+
+
+# Lives that begin while the agent uses no endpoint
+
+
+def test_a_life_after_a_notice_refuses_a_start_that_arrives_late():
+    """Guards against two runs when an endpoint comes back after it has left.
+
+    Its agent has dropped it, and uses no endpoint until the next announcement.
+    """
+    simulated = cluster.SimulatedCluster(entries=1, agents=3)
+    simulated.run(2.9)
+    holder = hold_up_start(simulated, late_s=2.2)
+    simulated.run(0.5)
+    simulated.leave(holder, lingers_s=0.3)
+    simulated.run(0.8)
+    assert simulated.processes[holder].state_machine.endpoint is None
+    begin_life(simulated, holder, names_birth=True, is_silent=True)
+    simulated.run(8.0)
+    assert simulated.violations() == []
+    assert started_later(simulated, holder) == []
+    assert simulated.states() == {JOB: ["completed"]}
+
+
+def test_a_third_life_refuses_a_start_that_arrives_late():
+    """Guards against two runs when an endpoint restarts twice.
+
+    The agent has dropped the first life when the second one replied, and has
+    not attached to that when it crashes.
+    """
+    simulated = cluster.SimulatedCluster(entries=1, agents=3)
+    for each in simulated.endpoints.values():
+        each.names_birth = True
+    simulated.run(2.9)
+    holder = hold_up_start(simulated, late_s=2.2)
+    for up_s in (0.4, 0.8):
+        simulated.run(up_s)
+        simulated.end_endpoint(simulated.endpoints[holder])
+        simulated.run(0.3)
+        begin_life(simulated, holder, names_birth=True, is_silent=True)
+    simulated.run(8.0)
+    assert simulated.violations() == []
+    assert started_later(simulated, holder) == []
+
+
+# The time before the first call
+
+
+class Called(endpoint.FakeEndpoint):
+    """An endpoint that records when the first call reaches it."""
+
+    first_call_s = None
+
+    def rejection(self, fencing_token, now_s):
+        """Record the time of a call, and handle it."""
+        if self.first_call_s is None:
+            self.first_call_s = now_s
+        return super().rejection(fencing_token, now_s)
+
+
+@pytest.mark.parametrize("is_dropped", [False, True])
+@pytest.mark.parametrize("down_s", [0.8 + 0.02 * n for n in range(8)])
+def test_a_later_life_is_called_within_a_tick(down_s, is_dropped):
+    """Guards against a long time in which a life takes earlier starts.
+
+    The earlier life crashes or leaves while a start may arrive late, and does
+    not answer any more.
+    """
+    simulated = cluster.SimulatedCluster(entries=1, agents=3)
+    simulated.run(2.9)
+    holder = hold_up_start(simulated, late_s=11.0)
+    simulated.run(0.5)
+    if is_dropped:
+        simulated.leave(holder, lingers_s=0.0)
+    else:
+        simulated.end_endpoint(simulated.endpoints[holder])
+    simulated.run(down_s)
+    begin_life(simulated, holder, is_silent=True, kind=Called)
+    later = simulated.endpoints[holder]
+    began_s = simulated.now_s
+    simulated.run(0.3)
+    assert later.first_call_s is not None
+    assert later.first_call_s - began_s <= executor.RunExecutor.TICK_S + 0.001
