Fix late starts of an earlier agent process at a later life

What callers saw: one task at work on two endpoints, if an agent process is replaced, its endpoint restarts under its identifier, and a start of the process before is carried out late.

Cause: a new process does not know the tokens of the one before. It restores the endpoint with a lower token, which a life that has seen a higher one makes it raise; a later life has seen none and takes the lower one, so that it is not fenced against starts of the process before until the agent attaches to it, up to 1.5 s later.

It does not hold if the wall clock of the endpoint was set back between the two lives.

--- a/src/_jasminewind/decisions/jobs/endpoint_use.py
+++ b/src/_jasminewind/decisions/jobs/endpoint_use.py
@@ -50,6 +50,8 @@
         self.is_renewing = False
         # The last endpoint, while none is in use.
         self.dropped: runs.EndpointRecord | None = None
+        # Birth of the last life that is called with a token of its own time.
+        self.fenced_born_ms = 0
 
     def on_registered(self, *, is_first: bool) -> None:
         """Learn that this agent is registered.
@@ -136,6 +138,7 @@
         )
         self.last_end = 0
         self.dropped = None
+        self.fenced_born_ms = record.born_ms
         self.is_reconciled = False
         self.is_renewing = False
         self.unknown_stop_sent_s.clear()
--- a/src/_jasminewind/decisions/jobs/later_lives.py
+++ b/src/_jasminewind/decisions/jobs/later_lives.py
@@ -55,18 +55,32 @@
         if not is_answering and self.late_starts.may_arrive(now.mono_s):
             self.read_state()
 
+    def on_reply_without_endpoint(
+        self,
+        call: actions.CallRenew,
+        reply: actions.RenewReply,
+    ) -> None:
+        """Handle the state of a life that this agent does not use.
+
+        One that refuses the fencing token refuses earlier starts as well.
+        """
+        if reply.outcome is actions.CallOutcome.DONE:
+            self.fence_life(call, reply)
+
     def on_later_life(
         self,
         call: actions.CallRenew,
+        reply: actions.RenewReply,
         now: core.Instant,
     ) -> None:
-        """Allow for calls that a later life may have taken for its own.
+        """Fence a later life, and allow for calls that it may have taken.
 
         No start is sent after the first reply that shows it.
         """
         is_first = not self.lease.later_life_s
         if call.deadline_ms or (is_first and self.has_unsettled_start()):
             self.lease.allow_for_later_life(now.mono_s)
+        self.fence_life(call, reply)
 
     def has_unsettled_start(self) -> bool:
         """Tell whether a start may have reached a later life."""
@@ -78,3 +92,19 @@
             )
             for run in self.allocation.runs.values()
         )
+
+    def fence_life(
+        self, call: actions.CallRenew, reply: actions.RenewReply
+    ) -> None:
+        """Call a life with a fencing token of its own time, once.
+
+        Starts of an earlier process of the agent may have a higher token than
+        the call that this life has replied to.
+        """
+        if reply.born_ms in (0, call.endpoint.born_ms, self.fenced_born_ms):
+            return
+        self.fenced_born_ms = reply.born_ms
+        self.fencing_token = max(
+            self.fencing_token + 1, reply.born_ms + reply.clock_ms
+        )
+        self.read_state()
--- a/src/_jasminewind/decisions/jobs/renewals.py
+++ b/src/_jasminewind/decisions/jobs/renewals.py
@@ -103,8 +103,11 @@
         now: core.Instant,
     ) -> core.Actions:
         """Handle the state of the endpoint, and renew again."""
-        if self.endpoint is None or call.attachment != self.attachment:
+        if call.attachment != self.attachment:
             return []
+        if self.endpoint is None:
+            self.on_reply_without_endpoint(call, reply)
+            return self.flush()
         if not call.is_out_of_band:
             self.is_renewing = False
         if is_other_incarnation(call.endpoint, reply):
@@ -116,7 +119,7 @@
                 now,
             )
             if reply.outcome is actions.CallOutcome.DONE:
-                self.on_later_life(call, now)
+                self.on_later_life(call, reply, now)
             return self.flush()
         self.observe_reply(
             actions.CallReply(outcome=reply.outcome, clock_ms=reply.clock_ms),
--- a/testing/decisions/jobs/test_reused_identifier.py
+++ b/testing/decisions/jobs/test_reused_identifier.py
@@ -150,6 +150,39 @@
     assert started_later(simulated, holder) == []
 
 
+# Agents that start again
+
+
+def test_a_later_life_refuses_a_start_of_an_earlier_agent_process():
+    """Guards against two runs when agent and endpoint both start again.
+
+    The new process restores the endpoint, which has crashed, and does not
+    know the fencing token of the start that its predecessor has sent.
+    """
+    simulated = cluster.SimulatedCluster(entries=1, agents=3)
+    for each in simulated.endpoints.values():
+        each.names_birth = True
+    simulated.run(2.9)
+    holder = hold_up_start(simulated, late_s=2.2)
+    earlier = simulated.endpoints[holder]
+    simulated.kill(holder)
+    simulated.end_endpoint(earlier)
+    simulated.run(0.3)
+    simulated.start_agent(holder, incarnation=2)
+    process = simulated.processes[holder]
+    simulated.perform(
+        process,
+        process.state_machine.restore_endpoint(
+            earlier.record, simulated.instant()
+        ),
+    )
+    simulated.run(0.3)
+    begin_life(simulated, holder, names_birth=True)
+    simulated.run(8.0)
+    assert simulated.violations() == []
+    assert started_later(simulated, holder) == []
+
+
 # The time before the first call
 
 
