Stop runs that a later life has started for an earlier one

Cause: the list of runs in the reply of a life that the agent does not use was not read. The run was found only after the agent had attached to it.

Change: runs in such a list that are not in the agent's record are stopped at once, and counted (starts.late). The window itself stays, from the beginning of a life to the first call; what is started in it now ends within about a tick and the time that a stop takes.

Test: test_a_start_that_is_carried_out_before_the_first_call_is_stopped, two cases, both failed before.

--- a/src/_jasminewind/decisions/jobs/later_lives.py
+++ b/src/_jasminewind/decisions/jobs/later_lives.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from _jasminewind import metrics
 from _jasminewind.decisions import core
 from _jasminewind.decisions.jobs import actions
 from _jasminewind.decisions.jobs import allocation
@@ -59,6 +60,7 @@
         self,
         call: actions.CallRenew,
         reply: actions.RenewReply,
+        now: core.Instant,
     ) -> None:
         """Handle the state of a life that this agent does not use.
 
@@ -66,6 +68,7 @@
         """
         if reply.outcome is actions.CallOutcome.DONE:
             self.fence_life(call, reply)
+            self.stop_late_runs(reply, now)
 
     def on_later_life(
         self,
@@ -81,6 +84,7 @@
         if call.deadline_ms or (is_first and self.has_unsettled_start()):
             self.lease.allow_for_later_life(now.mono_s)
         self.fence_life(call, reply)
+        self.stop_late_runs(reply, now)
 
     def has_unsettled_start(self) -> bool:
         """Tell whether a start may have reached a later life."""
@@ -108,3 +112,15 @@
             self.fencing_token + 1, reply.born_ms + reply.clock_ms
         )
         self.read_state()
+
+    def stop_late_runs(
+        self, reply: actions.RenewReply, now: core.Instant
+    ) -> None:
+        """Stop what a life has started before it was called.
+
+        The runs that are known here are being stopped.
+        """
+        for run in reply.running:
+            if run.key not in self.allocation.runs:
+                self.meter.add(metrics.STARTS_LATE)
+                self.stop_unknown(run.key, now)
--- a/src/_jasminewind/decisions/jobs/renewals.py
+++ b/src/_jasminewind/decisions/jobs/renewals.py
@@ -106,7 +106,7 @@
         if call.attachment != self.attachment:
             return []
         if self.endpoint is None:
-            self.on_reply_without_endpoint(call, reply)
+            self.on_reply_without_endpoint(call, reply, now)
             return self.flush()
         if not call.is_out_of_band:
             self.is_renewing = False
--- a/src/_jasminewind/metrics.py
+++ b/src/_jasminewind/metrics.py
@@ -288,6 +288,11 @@
 STARTS_UNANSWERED = counter(
     "starts.unanswered", "{call}", "Starts that the endpoint did not answer."
 )
+STARTS_LATE = counter(
+    "starts.late",
+    "{run}",
+    "Runs that an endpoint had started for an earlier life of it.",
+)
 STOPS_UNANSWERED = counter(
     "stops.unanswered",
     "{run}",
--- a/testing/decisions/jobs/test_reused_identifier.py
+++ b/testing/decisions/jobs/test_reused_identifier.py
@@ -186,6 +186,30 @@
 # The time before the first call
 
 
+@pytest.mark.parametrize("names_birth", [False, True])
+def test_a_start_that_is_carried_out_before_the_first_call_is_stopped(
+    names_birth,
+):
+    """Guards against a second run that goes on until its lease lapses.
+
+    A later life gets the start before the agent has called it.
+    """
+    simulated = cluster.SimulatedCluster(entries=1, agents=3)
+    for each in simulated.endpoints.values():
+        each.names_birth = names_birth
+    simulated.run(2.9)
+    holder = hold_up_start(simulated, late_s=2.22)
+    simulated.run(1.45)
+    simulated.end_endpoint(simulated.endpoints[holder])
+    simulated.run(0.719)
+    begin_life(simulated, holder, names_birth=names_birth)
+    simulated.run(0.005)
+    later = simulated.endpoints[holder]
+    assert later.running
+    simulated.run(2 * executor.RunExecutor.TICK_S)
+    assert not later.running
+
+
 class Called(endpoint.FakeEndpoint):
     """An endpoint that records when the first call reaches it."""
 
--- a/tools/metrics_page.py
+++ b/tools/metrics_page.py
@@ -160,6 +160,10 @@
         "name in the log, and correct its writer."
     ),
     "starts.unanswered": "Rises with `renewals.lost`: see there.",
+    "starts.late": (
+        "Not 0: a task may have run twice for a moment; the `stop_unknown` "
+        "lines of the agent name the runs."
+    ),
     "stops.unanswered": (
         "Rises on one agent: its endpoint answers renewals and no stops. Its "
         "runs end by their lease; drain it."
