Fix the lease of a run that a later life may have started

What callers could see: two runs of a task for up to 0.5 s (found by reading, by a test of the decisions; not seen with processes). A start is answered by a later life that the agent does not know yet. That one takes the deadline for a later one and shortens it to its longest lease, 1 s. The agent gave the run up after the 0.5 s that it had asked for.

That a start was answered was held to prove which life executes the run. The longer lease was allowed for only if a start was without an answer, or if the call that met the later life extended the lease.

Change: a run also counts as unsettled if no state was read since its start was answered: only the reply to a later read shows that the life in use answered it. Runs that were listed are given up as soon as before.

Tests: test_a_run_that_a_later_life_may_have_started_outlasts_its_lease, which failed before (given up after 0.55 s); test_a_run_that_the_earlier_life_has_ listed_is_given_up_soon, which guards the other side and passed before.

--- a/src/_jasminewind/decisions/jobs/later_lives.py
+++ b/src/_jasminewind/decisions/jobs/later_lives.py
@@ -87,14 +87,20 @@
         self.stop_late_runs(reply, now)
 
     def has_unsettled_start(self) -> bool:
-        """Tell whether a start may have reached a later life."""
+        """Tell whether a start may have reached a later life.
+
+        A life that was read after it had answered the start has carried it
+        out.
+        """
         return any(
             run.state
             in (
                 allocation.RunState.STARTING,
                 allocation.RunState.UNCONFIRMED,
             )
+            or run.started_s >= self.lease.state_sent_s
             for run in self.allocation.runs.values()
+            if run.state is not allocation.RunState.QUEUED
         )
 
     def fence_life(
--- a/testing/decisions/jobs/test_run_ends.py
+++ b/testing/decisions/jobs/test_run_ends.py
@@ -499,6 +499,72 @@
     assert ended[key] is runs.RunOutcome.LAPSED
 
 
+def reply_of_later_life(agent):
+    """Return the reply of a later life to a call that was just sent."""
+    return actions.RenewReply(
+        outcome=actions.CallOutcome.DONE,
+        sent_s=agent.now_s,
+        clock_ms=300,
+        born_ms=RECORD.born_ms + 5_000,
+    )
+
+
+def reported_s(agent, pending, *, for_s):
+    """Return after how long the first run is reported, ``None`` if not.
+
+    A later life answers a read of its state and all later calls. The pending
+    renewal is lost with the earlier life.
+    """
+    began_s = agent.now_s
+    agent.executor.read_state()
+    (read,) = test_paused_agent.calls(
+        agent.executor.flush(), actions.CallRenew
+    )
+    lost = actions.RenewReply(
+        outcome=actions.CallOutcome.LOST, sent_s=agent.now_s
+    )
+    found = agent.executor.on_renew_reply(
+        read, reply_of_later_life(agent), agent.now()
+    )
+    found += agent.executor.on_renew_reply(pending, lost, agent.now())
+    while agent.now_s < began_s + for_s:
+        reply = reply_of_later_life(agent)
+        found = [
+            after
+            for call in test_paused_agent.calls(found, actions.CallRenew)
+            for after in agent.executor.on_renew_reply(
+                call, reply, agent.now()
+            )
+        ] + agent.executor.on_tick(agent.now())
+        if FIRST in reported(found):
+            return agent.now_s - began_s
+        agent.now_s += executor.RunExecutor.TICK_S
+    return None
+
+
+def test_a_run_that_a_later_life_may_have_started_outlasts_its_lease():
+    """Guards against a run that is given up while a later life executes it.
+
+    The start was answered, but no state was read since, so that the later
+    life may have answered it. That one takes the deadline for a later one.
+    """
+    agent = test_paused_agent.Agent()
+    agent.now_s += 0.01
+    agent.executor.on_start_reply(FIRST, test_paused_agent.DONE, agent.now())
+    after_s = reported_s(agent, agent.pending, for_s=2.0)
+    assert after_s is not None
+    assert after_s >= leases.LEASE_LIMIT_S
+
+
+def test_a_run_that_the_earlier_life_has_listed_is_given_up_soon(busy):
+    """Guards against tasks that wait after each restart of an endpoint."""
+    busy.now_s += 0.01
+    busy.renewed(running=(actions.RunningRun(key=FIRST),))
+    after_s = reported_s(busy, busy.pending, for_s=2.0)
+    assert after_s is not None
+    assert after_s < leases.MAX_LEASE_S + 0.1
+
+
 # An endpoint that is attached again
 
 
