Hold up starts in the soak, and restart their endpoints meanwhile

Change: a new group of faults, late_starts. Starts on an endpoint get no answer and are carried out 0.3 to 5 s later on the life that there is then; the endpoint restarts meanwhile in two thirds of them, a quarter of these with its agent. A held-up start waits for the agent's first call to a life: what it does before that is the window that docs/incidents/late-start.md leaves open, so the soak does not look for it.

--- a/testing/platform/fake_platform.py
+++ b/testing/platform/fake_platform.py
@@ -208,17 +208,20 @@
         now_s = self.reactor.seconds()
         if request.path == b"/-/hold":
             return self.renew(request, body, now_s)
-        key = runs.RunKey(body["task"], body["run"])
         if request.path == b"/-/run-stop":
             call = actions.CallStop(
                 endpoint=self.fake.record,
                 fencing_token=body["fencing-token"],
-                key=key,
+                key=runs.RunKey(body["task"], body["run"]),
             )
             return self.reply_body(request, self.fake.stop(call, now_s))
+        return self.reply_body(request, self.start(body))
+
+    def start(self, body):
+        """Carry out a start; return the reply."""
         need, work_s = self.work(body)
         order = runs.RunOrder(
-            key=key,
+            key=runs.RunKey(body["task"], body["run"]),
             specification=body["specification"],
             need=need,
             estimate_s=work_s,
@@ -230,7 +233,7 @@
             order=order,
             deadline_ms=body["deadline-ms"],
         )
-        return self.reply_body(request, self.fake.start(call, now_s, work_s))
+        return self.fake.start(call, self.reactor.seconds(), work_s)
 
     def work(self, body):
         """Return what a task needs, and its run time in seconds."""
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -16,6 +16,8 @@
 # Together at most ``MAX_FAULT_S``.
 DRAIN_S = (0.5, 2.0)
 MAX_LINGER_S = 0.5
+# The platform names 2 to 12 s; a soak is shorter.
+START_DELAYS_S = (0.3, 5.0)
 ABSENCES_S = (0.0, 0.5)
 # Period of the first announcements of an endpoint, which no agent has
 # acknowledged.
@@ -38,6 +40,8 @@
     ENDPOINTS = "endpoints"
     # Evacuated failure domains.
     REMOVALS = "removals"
+    # Starts without an answer that are carried out late.
+    LATE_STARTS = "late_starts"
 
 
 ALL_GROUPS = tuple(Group)
@@ -65,6 +69,7 @@
             Group.COMBINED: self.combined_faults(),
             Group.ENDPOINTS: self.endpoint_faults(),
             Group.REMOVALS: self.removal_faults(),
+            Group.LATE_STARTS: self.late_start_faults(),
         }
         self.injections = [
             injection
@@ -128,6 +133,14 @@
         """Return removals of the capacity of several endpoints."""
         return (self.evacuate_domain, self.evacuate_domain)
 
+    def late_start_faults(self):
+        """Return faults after which starts arrive late."""
+        return (
+            self.hold_up_starts,
+            self.restart_while_starts_are_held_up,
+            self.restart_while_starts_are_held_up,
+        )
+
     def counts(self):
         """Return how often each kind that may be drawn was injected."""
         kinds = [injection.kind for injection in self.injected]
@@ -468,6 +481,45 @@
             "later"
         )
 
+    def hold_up_starts(self, name="", machine=None):
+        """Hold up the starts on an endpoint for a while."""
+        if machine is None:
+            name, machine = self.draw_endpoint()
+        machine.start_delay_s = self.rng.uniform(*START_DELAYS_S)
+        duration_s = self.schedule_undo(
+            lambda: setattr(machine, "start_delay_s", 0.0)
+        )
+        return (
+            f"hold up the starts of {name} for {machine.start_delay_s:.2f} s, "
+            f"{duration_s:.2f} s long"
+        )
+
+    def restart_while_starts_are_held_up(self):
+        """Hold up the starts on an endpoint, which restarts meanwhile.
+
+        It keeps its identifier. Its agent may restart as well.
+        """
+        name, machine = self.draw_endpoint()
+        text = self.hold_up_starts(name, machine)
+        identifier = machine.fake.record.name
+        crash_s = self.rng.uniform(0.2, 2.0)
+        down_s = self.rng.uniform(0.0, 0.5)
+
+        def crash():
+            if machine.fake.record.name == identifier:
+                self.fleet.end_endpoint(machine)
+                self.schedule(down_s, start)
+
+        def start():
+            if machine.fake.record.name == identifier:
+                self.fleet.start_endpoint(machine, identifier=identifier)
+
+        self.schedule(crash_s, crash)
+        text += f"; it restarts {crash_s:.2f} s later, down {down_s:.2f} s"
+        if self.rng.random() < 0.25:
+            text += f"; {self.kill(self.fleet.processes[name])}"
+        return text
+
     def replace_endpoint_and_agent(self):
         """Cut an endpoint off, restart its agent and announce another one.
 
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -30,6 +30,7 @@
 CORES = 10.0
 HEARTBEAT_INTERVAL_S = 0.5
 END_LIMIT_S = 10.0
+LATE_RETRY_S = 0.02
 # Failure domains of the endpoints, by turns.
 DOMAINS = ("a", "b", "c")
 # Bound of the deployment from the acknowledgement of a row that evacuates a
@@ -121,10 +122,12 @@
 class Machine(fake_platform.FakeMachine):
     """Runs one endpoint; the specification of a task sets its run time.
 
-    ``port`` is where its agent calls it.
+    ``port`` is where its agent calls it. With a ``start_delay_s``, starts get
+    no answer and are carried out that much later.
     """
 
     names_birth = True
+    start_delay_s = 0.0
 
     def __init__(self, reactor, agent, *, domain=DOMAINS[0]):
         super().__init__(reactor, "", born_s=0.0)
@@ -134,6 +137,33 @@
         self.domain = domain
         self.port = 0
 
+    def render_POST(self, request):  # noqa: N802
+        """Handle a call, or hold a start up."""
+        is_start = request.path == b"/-/run-start"
+        if self.is_cut_off or not (is_start and self.start_delay_s):
+            return super().render_POST(request)
+        body = json.loads(request.content.read())
+        identifier = request.getHeader("X-Expected-Instance")
+        self.reactor.callLater(
+            self.start_delay_s, self.start_late, identifier, body
+        )
+        return server.NOT_DONE_YET
+
+    def start_late(self, identifier, body):
+        """Carry out a start on the instance that there is now.
+
+        It waits for the agent's first call to that: no rule keeps a start
+        from running before it (docs/incidents/late-start.md).
+        """
+        if self.fake.record.name != identifier:
+            return
+        if self.is_cut_off or not self.fake.fencing_token:
+            self.reactor.callLater(
+                LATE_RETRY_S, self.start_late, identifier, body
+            )
+            return
+        self.start(body)
+
     def work(self, body):
         """Return the resources of a task and its run time in seconds."""
         fields = json.loads(body["specification"])
--- a/testing/soak/test_faults.py
+++ b/testing/soak/test_faults.py
@@ -1,5 +1,6 @@
 """Tests of the faults of endpoints, without processes."""
 
+import io
 import json
 import random
 
@@ -113,6 +114,56 @@
     assert births.count(earlier.born_ms) == 1
 
 
+class Start(io.BytesIO):
+    """A request to start a run, as far as the endpoint reads it."""
+
+    path = b"/-/run-start"
+    content = property(lambda self: self)
+
+    def __init__(self, identifier, **fields):
+        super().__init__(json.dumps(fields).encode())
+        self.identifier = identifier
+
+    def getHeader(self, name):  # noqa: N802
+        """Return the identifier of the instance that is meant."""
+        del name
+        return self.identifier
+
+
+def hold_up_start(fleet, fencing_token):
+    """Send a start that is held up while its endpoint restarts."""
+    machine = fleet.machines["agent-0"]
+    injector(fleet, 1).restart_while_starts_are_held_up()
+    start = Start(
+        machine.fake.record.name,
+        task="0000000000000001.0.0.0",
+        run=1,
+        specification='{"cores": 1.0, "work_s": 0.1}',
+        **{"fencing-token": fencing_token, "deadline-ms": 900_000},
+    )
+    machine.render_POST(start)
+    earlier = machine.fake
+    # A call of the agent reaches each life.
+    advance(fleet, 3.0)
+    machine.fake.fencing_token = 7
+    advance(fleet, faults.START_DELAYS_S[1])
+    assert machine.fake.record.name == earlier.record.name
+    assert not earlier.starts
+    return machine.fake
+
+
+def test_a_start_that_is_held_up_reaches_the_later_life(fleet):
+    """Guards against a soak in which a restart forgets starts on their way."""
+    assert hold_up_start(fleet, fencing_token=7).starts
+    fleet.is_stopped = True
+
+
+def test_a_later_life_fences_a_start_that_is_held_up(fleet):
+    """Guards against a soak that finds a second run after a later call."""
+    assert not hold_up_start(fleet, fencing_token=6).starts
+    fleet.is_stopped = True
+
+
 def test_starts_in_an_evacuated_domain_are_found(fleet):
     """Guards against a soak that overlooks starts after the bound.
 
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -11,6 +11,7 @@
 COMBINED = (*SINGLE, faults.Group.COMBINED)
 ENDPOINTS = (*COMBINED, faults.Group.ENDPOINTS)
 REMOVALS = (*ENDPOINTS, faults.Group.REMOVALS)
+LATE_STARTS = (*REMOVALS, faults.Group.LATE_STARTS)
 # Seed, duration of the soak in seconds, and its groups of faults.
 CI_SOAKS = (
     (1, 8.0, SINGLE),
@@ -18,6 +19,7 @@
     (3, 8.0, COMBINED),
     (4, 8.0, COMBINED),
     (5, 15.0, REMOVALS),
+    (6, 12.0, LATE_STARTS),
 )
 # Seeds that failed before.
 REGRESSIONS = (
@@ -30,6 +32,9 @@
     # So was the reply of an endpoint that had restarted under its identifier
     # and executed a run of which the start had been sent before.
     (4, 8.0, ENDPOINTS),
+    # Starts that were held up were carried out by later lives of their
+    # endpoints.
+    (1, 12.0, (faults.Group.LATE_STARTS,)),
 )
 
 
