Show what is proved of an endpoint beyond one life, and what is not

Change: tests for those that are safe or fixed by the same rule: a lease that has run out, "has not run" to a caller, an entry that dies, early moves, evacuations, and renewals that arrive late.

--- a/testing/decisions/jobs/test_reused_identifier.py
+++ b/testing/decisions/jobs/test_reused_identifier.py
@@ -1,8 +1,12 @@
 """Endpoints that restart under the identifier that they had."""
 
+import dataclasses
+
 import pytest
 
 from _jasminewind.decisions.jobs import executor
+from _jasminewind.decisions.jobs import leases
+from _jasminewind.messages import runs
 from testing.decisions.jobs import cluster
 from testing.decisions.jobs import endpoint
 
@@ -37,10 +41,14 @@
         each.peers = list(simulated.endpoints.values())
 
 
-def hold_up_start(simulated, late_s):
+def hold_up_start(simulated, late_s, *, caller_timeout_s=0.0):
     """Submit a job whose first start arrives late; return its agent."""
     simulated.start_loss, simulated.start_delay_s = 1.0, late_s
-    simulated.submit("entry-0", cluster.job(JOB, count=1, work_s=6.0))
+    job = cluster.job(JOB, count=1, work_s=6.0)
+    simulated.submit(
+        "entry-0",
+        dataclasses.replace(job, caller_timeout_s=caller_timeout_s),
+    )
     simulated.run(0.05)
     simulated.start_loss = 0.0
     (holder,) = [
@@ -107,6 +115,105 @@
     assert simulated.states() == {JOB: ["completed"]}
 
 
+def test_a_lapsed_lease_settles_a_start_for_later_lives_too():
+    """Guards against two runs when the lease alone settled the start.
+
+    The earlier life leaves the stop and all renewals unanswered until the run
+    is given up.
+    """
+    simulated = cluster.SimulatedCluster(entries=1, agents=3)
+    simulated.run(2.9)
+    holder = hold_up_start(simulated, late_s=2.2)
+    simulated.stop_loss = simulated.renewal_loss = 1.0
+    simulated.run(1.0)
+    assert not simulated.processes[holder].state_machine.allocation.runs
+    simulated.stop_loss = simulated.renewal_loss = 0.0
+    simulated.run(0.5)
+    simulated.end_endpoint(simulated.endpoints[holder])
+    simulated.run(0.3)
+    begin_life(simulated, holder)
+    simulated.run(8.0)
+    assert simulated.violations() == []
+    assert started_later(simulated, holder) == []
+
+
+def test_a_job_whose_start_may_arrive_late_is_not_denied():
+    """Guards against "never runs" for a job that a later life may start.
+
+    The agent has reported its run as not started, and no endpoint is left.
+    """
+    simulated = cluster.SimulatedCluster(entries=1, agents=1)
+    simulated.run(2.9)
+    holder = hold_up_start(simulated, late_s=2.2, caller_timeout_s=20.0)
+    simulated.start_loss = 1.0
+    simulated.run(0.5)
+    process = simulated.processes[holder].state_machine
+    ends = [each.end for each in process.recent_ends.by_key.values()]
+    assert runs.RunOutcome.NOT_STARTED in [end.outcome for end in ends]
+    simulated.end_endpoint(simulated.endpoints[holder])
+    simulated.run(60.0)
+    assert simulated.states() == {JOB: ["abandoned"]}
+
+
+def crash_and_begin(simulated, holder, *, after_s):
+    """Let an endpoint crash and begin a life; then the start arrives late."""
+    simulated.run(after_s)
+    simulated.end_endpoint(simulated.endpoints[holder])
+    simulated.run(0.3)
+    begin_life(simulated, holder, names_birth=True, is_silent=True)
+    simulated.run(8.0)
+
+
+def test_a_later_life_refuses_a_start_of_a_dead_entry():
+    """Guards against two runs when a caller returns to another entry."""
+    simulated = cluster.SimulatedCluster(entries=2, agents=3)
+    simulated.run(2.9)
+    holder = hold_up_start(simulated, late_s=2.9)
+    simulated.kill("entry-0")
+    simulated.run(leases.RESUBMIT_DELAY_S)
+    simulated.submit("entry-1", cluster.job(JOB, count=1, work_s=6.0))
+    crash_and_begin(simulated, holder, after_s=0.5)
+    assert simulated.violations() == []
+    assert started_later(simulated, holder) == []
+
+
+def test_a_later_life_refuses_a_start_from_before_an_evacuation():
+    """Guards against a start in an evacuated domain, beside another run."""
+    simulated = cluster.SimulatedCluster(entries=1, agents=3)
+    simulated.run(2.9)
+    holder = hold_up_start(simulated, late_s=2.2)
+    process = simulated.processes[holder].state_machine
+    evacuated = runs.DomainState(
+        domain=process.endpoint.failure_domain, version=1, is_evacuated=True
+    )
+    process.learn_domain_state(evacuated, simulated.instant())
+    crash_and_begin(simulated, holder, after_s=1.0)
+    assert simulated.violations() == []
+    assert started_later(simulated, holder) == []
+
+
+@pytest.mark.parametrize("stop_loss", [0.0, 1.0])
+def test_a_run_that_is_moved_early_ends_before_a_later_life(stop_loss):
+    """Guards against two runs when a draining endpoint restarts.
+
+    Its agent has stopped the run, since it would not end in time.
+    """
+    simulated = cluster.SimulatedCluster(entries=1, agents=2)
+    simulated.run(2.9)
+    simulated.submit("entry-0", cluster.job(JOB, count=2, work_s=6.0))
+    simulated.run(0.1)
+    holder, *_ = [n for n, e in simulated.endpoints.items() if e.running]
+    simulated.stop_loss = stop_loss
+    simulated.drain(holder, announced_s=0.5, stays_s=0.4)
+    simulated.run(0.4)
+    begin_life(simulated, holder, names_birth=True)
+    simulated.run(0.5)
+    simulated.stop_loss = 0.0
+    simulated.run(12.0)
+    assert simulated.violations() == []
+    assert simulated.states() == {JOB: ["completed"]}
+
+
 # Lives that begin while the agent uses no endpoint
 
 
--- a/testing/decisions/jobs/test_run_ends.py
+++ b/testing/decisions/jobs/test_run_ends.py
@@ -664,6 +664,29 @@
     assert tokens[0] < tokens[1]
 
 
+def test_a_later_life_is_attached_above_all_earlier_tokens(busy):
+    """Guards against a late renewal that extends the lease of a later life.
+
+    It takes the deadline for a longer one. Here its predecessor has refused
+    the agent's token, which was raised by 10 s.
+    """
+    fenced = actions.CallReply(outcome=actions.CallOutcome.FENCED)
+    busy.executor.observe_reply(
+        fenced, busy.executor.fencing_token, busy.now()
+    )
+    token = busy.executor.fencing_token
+    busy.executor.expect_end("another incarnation replied", busy.now())
+    busy.now_s += 1.0
+    busy.executor.on_tick(busy.now())
+    following = dataclasses.replace(RECORD, born_ms=5_000)
+    found = busy.executor.on_announcement(
+        following, clock_ms=300, is_draining=False, now=busy.now()
+    )
+    (renewal,) = test_paused_agent.calls(found, actions.CallRenew)
+    assert renewal.endpoint == following
+    assert renewal.fencing_token > token
+
+
 @pytest.fixture
 def doubtful(busy):
     """Return an agent whose last start timed out while it renewed."""
