Log another life in a line of its own, and count a late run once

Cause: the description of another life was the reason for the departure of the endpoint, which is repeated in each report of a queued run. starts.late counted a run once for each reply that listed it.

Change: `other_life` has the description, once for each departure; the reason is as short as before. starts.late counts a run once. No decision changes.

--- a/src/_jasminewind/decisions/jobs/later_lives.py
+++ b/src/_jasminewind/decisions/jobs/later_lives.py
@@ -127,6 +127,8 @@
         The runs that are known here are being stopped.
         """
         for run in reply.running:
-            if run.key not in self.allocation.runs:
+            if run.key in self.allocation.runs:
+                continue
+            if run.key not in self.unknown_stop_sent_s:
                 self.meter.add(metrics.STARTS_LATE)
-                self.stop_unknown(run.key, now)
+            self.stop_unknown(run.key, now)
--- a/src/_jasminewind/decisions/jobs/renewals.py
+++ b/src/_jasminewind/decisions/jobs/renewals.py
@@ -113,11 +113,9 @@
         if is_other_incarnation(call.endpoint, reply):
             if not call.is_out_of_band:
                 self.next_renewal_s = now.mono_s + RENEWAL_RETRY_S
-            self.expect_end(
-                "another incarnation replied: "
-                f"{describe_reply(call, reply)}",
-                now,
-            )
+            if self.departure is None:
+                self.log("other_life", describe_reply(call, reply))
+            self.expect_end("another incarnation replied", now)
             if reply.outcome is actions.CallOutcome.DONE:
                 self.on_later_life(call, reply, now)
             return self.flush()
