--- a/testing/decisions/jobs/test_run_ends.py
+++ b/testing/decisions/jobs/test_run_ends.py
@@ -687,6 +687,30 @@
     assert renewal.fencing_token > token
 
 
+def test_a_life_that_is_attached_as_an_earlier_one_takes_no_work():
+    """Guards against runs that are ordered for a life that has ended.
+
+    A delayed announcement of it was used, as a later life refused the fencing
+    token of the call that asks who is there, and did not name its birth.
+    """
+    machine = executor.RunExecutor(agent="agent-0")
+    machine.on_registered(is_first=True)
+    now = core.Instant(10.0, 10_000)
+    found = machine.on_announcement(
+        RECORD, clock_ms=9_000, is_draining=False, now=now
+    )
+    (renewal,) = test_paused_agent.calls(found, actions.CallRenew)
+    reply = actions.RenewReply(
+        outcome=actions.CallOutcome.DONE,
+        sent_s=now.mono_s,
+        clock_ms=300,
+        born_ms=RECORD.born_ms + 5_000,
+    )
+    machine.on_renew_reply(renewal, reply, now)
+    assert machine.endpoint is None
+    assert not machine.is_accepting()
+
+
 @pytest.fixture
 def doubtful(busy):
     """Return an agent whose last start timed out while it renewed."""
