--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -326,9 +326,9 @@
         self.server = Server(self.handle)
         self.tasks = []
 
-    async def start(self):
-        """Serve calls and send heartbeats."""
-        await self.server.start()
+    async def start(self, port=0):
+        """Serve calls at a port, by default a free one; send heartbeats."""
+        await self.server.start(port)
         self.tasks = [
             asyncio.create_task(self.beat()),
             asyncio.create_task(self.tick()),
